--- /dev/null
+++ b/benchlink/src/terms.rs
@@ -0,0 +1,101 @@
+//! The settings text of an instance, decoded into the module's terms. Unknown keys are skipped.
+
+use lupinledge::link::{Effect, Frontend, Group, Plan, Terms};
+use lupinledge::time::Span;
+use serde_json::Value;
+
+struct Part<'a>(&'a Value, &'static str);
+
+impl<'a> Part<'a> {
+    fn of(v: &'a Value, key: &'static str) -> Result<Part<'a>, String> {
+        let part = v.get(key).ok_or_else(|| format!("no `{key}`"))?;
+        if part.is_object() {
+            Ok(Part(part, key))
+        } else {
+            Err(format!("`{key}` is no object"))
+        }
+    }
+    fn num(&self, key: &str) -> Result<f64, String> {
+        let v = self.0.get(key).ok_or_else(|| format!("no `{}.{key}`", self.1))?;
+        v.as_f64().ok_or_else(|| format!("`{}.{key}` is no number", self.1))
+    }
+    fn span(&self, key: &str) -> Result<Span, String> {
+        Ok(Span::from_secs(self.num(key)?))
+    }
+    fn flag(&self, key: &str) -> Result<bool, String> {
+        let v = self.0.get(key).ok_or_else(|| format!("no `{}.{key}`", self.1))?;
+        v.as_bool().ok_or_else(|| format!("`{}.{key}` is no true or false", self.1))
+    }
+    fn word(&self, key: &str) -> Result<&'a str, String> {
+        let v = self.0.get(key).ok_or_else(|| format!("no `{}.{key}`", self.1))?;
+        v.as_str().ok_or_else(|| format!("`{}.{key}` is no text", self.1))
+    }
+}
+
+fn list<'a>(v: &'a Value, key: &'static str) -> Result<Vec<Part<'a>>, String> {
+    let all = v.get(key).and_then(Value::as_array).ok_or_else(|| format!("no list `{key}`"))?;
+    Ok(all.iter().map(|v| Part(v, key)).collect())
+}
+
+fn frontend(p: &Part) -> Result<Frontend, String> {
+    let effect = match p.word("effect")? {
+        "repeatable" => Effect::Replayable,
+        "by_key" => Effect::Uniqued,
+        "once" => Effect::NonReplayable,
+        w => return Err(format!("unknown effect `{w}`")),
+    };
+    let uniqued = effect == Effect::Uniqued;
+    let group = match if uniqued { p.word("group")? } else { "all" } {
+        "all" => Group::All,
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        w => return Err(format!("unknown group `{w}`")),
+    };
+    Ok(Frontend {
+        effect,
+        group,
+        memory: if uniqued { p.span("memorySpan")? } else { Span::ZERO },
+        target: p.span("slo")?,
+        late_value: p.num("lateWorth")?,
+    })
+}
+
+fn plan(p: &Part) -> Result<Plan, String> {
+    Ok(Plan {
+        rate: p.num("unitsPerS")?,
+        burst: p.num("storeSize")?,
+        at_once: p.num("atOnce")? as u32,
+        overrun_value: p.num("extraWorth")?,
+        overrun_cost: p.num("overrunCost")?,
+        ceiling_rate: p.num("capRate")?,
+        ceiling_burst: p.num("neverOverDepth")?,
+    })
+}
+
+pub fn decode(seed: u64, text: &[u8]) -> Result<Terms, String> {
+    let v: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let top = Part(&v, "settings");
+    let (limits, rules, fam) = (Part::of(&v, "limits")?, Part::of(&v, "rules")?, Part::of(&v, "familyInfo")?);
+    Ok(Terms {
+        seed,
+        gateways: top.num("instances")? as usize,
+        zone: top.num("locality")? as u16,
+        period: top.span("period")?,
+        frontends: list(&v, "classes")?.iter().map(frontend).collect::<Result<_, _>>()?,
+        plans: list(&v, "packages")?.iter().map(plan).collect::<Result<_, _>>()?,
+        counter: fam.flag("sharedCounter")?,
+        count_wait: fam.span("countWait")?,
+        largest: fam.num("largest")?,
+        settles: fam.flag("costAfter")?,
+        ask_list: top.word("discovery")? == "on_request",
+        max_dispatches: limits.num("maxAttempts")? as u32,
+        may_duplicate: limits.flag("mayDuplicate")?,
+        may_cancel: limits.flag("mayCancel")?,
+        may_hint: limits.flag("retryAfter")?,
+        longest_hint: limits.span("maxRetryAfter")?,
+        cold_from: rules.num("coldFrom")?,
+        warm_after: rules.span("warmAfter")?,
+        fall_multiple: rules.num("fallMultiple")?,
+        fall_window: rules.span("tipAfter")?,
+    })
+}
--- /dev/null
+++ b/src/time.rs
@@ -0,0 +1,69 @@
+//! Points in time and spans, in whole microseconds; two types that can't be mixed up.
+
+use std::ops::{Add, Sub};
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Point(u64);
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(i64);
+
+impl Point {
+    pub fn from_secs(s: f64) -> Point {
+        Point((s * 1e6).round().max(0.0) as u64)
+    }
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+    pub const fn millis(ms: i64) -> Span {
+        Span(ms * 1000)
+    }
+    pub fn from_secs(s: f64) -> Span {
+        Span((s * 1e6).round() as i64)
+    }
+    pub fn secs(self) -> f64 {
+        self.0 as f64 / 1e6
+    }
+    pub fn times(self, f: f64) -> Span {
+        Span((self.0 as f64 * f).round() as i64)
+    }
+}
+
+impl Add<Span> for Point {
+    type Output = Point;
+    fn add(self, s: Span) -> Point {
+        Point(self.0.saturating_add_signed(s.0))
+    }
+}
+
+impl Sub<Span> for Point {
+    type Output = Point;
+    fn sub(self, s: Span) -> Point {
+        Point(self.0.saturating_add_signed(-s.0))
+    }
+}
+
+impl Sub<Point> for Point {
+    type Output = Span;
+    fn sub(self, o: Point) -> Span {
+        Span(self.0 as i64 - o.0 as i64)
+    }
+}
+
+impl Add<Span> for Span {
+    type Output = Span;
+    fn add(self, o: Span) -> Span {
+        Span(self.0 + o.0)
+    }
+}
+
+impl Sub<Span> for Span {
+    type Output = Span;
+    fn sub(self, o: Span) -> Span {
+        Span(self.0 - o.0)
+    }
+}
--- /dev/null
+++ b/tests/play.rs
@@ -0,0 +1,235 @@
+//! Plays the scenarios in `tests/scenarios`. A line `@T EVENT ...` plays timers up to T, then the event at T;
+//! `> TEXT` wants an action since that line that begins so, `! TEXT` none, `= N TEXT` just N.
+//! Events: `list KIND srv[,key=value..] ..`, `req ID key=value ..`, `total X` (answers the oldest counter call),
+//! `silence` / `refuse` (all calls), `passed`/`error`/`full`/`lost`/`reset` ID/NTH key=value .., `wait`.
+
+use lupinledge::control::Control;
+use lupinledge::link::*;
+use lupinledge::time::{Point, Span};
+use std::collections::VecDeque;
+use test_case::test_case;
+
+struct Play {
+    ctl: Control,
+    now: f64,
+    log: Vec<String>,
+    calls: VecDeque<u64>,
+    timers: Vec<f64>,
+    sent: std::collections::BTreeMap<(u64, u16), f64>,
+}
+
+fn key<'a>(words: &[&'a str], name: &str) -> Option<&'a str> {
+    words.iter().flat_map(|w| w.split(',')).find_map(|w| w.strip_prefix(name)?.strip_prefix('='))
+}
+
+fn num(words: &[&str], name: &str, or: f64) -> f64 {
+    key(words, name).map_or(or, |v| v.parse().expect("a number"))
+}
+
+fn frontend(w: &[&str]) -> Frontend {
+    let effect = match key(w, "effect").unwrap_or("replayable") {
+        "replayable" => Effect::Replayable,
+        "uniqued" => Effect::Uniqued,
+        _ => Effect::NonReplayable,
+    };
+    let group = match key(w, "group").unwrap_or("all") {
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        _ => Group::All,
+    };
+    let (memory, target) = (Span::from_secs(num(w, "memory", 2.0)), Span::from_secs(num(w, "target", 1.0)));
+    Frontend { effect, group, memory, target, late_value: num(w, "late", 0.0) }
+}
+
+fn plan(w: &[&str]) -> Plan {
+    Plan {
+        rate: num(w, "rate", 0.0),
+        burst: num(w, "burst", 0.0),
+        at_once: num(w, "at_once", 0.0) as u32,
+        overrun_value: 0.0,
+        overrun_cost: 1.0,
+        ceiling_rate: num(w, "ceiling", 0.0),
+        ceiling_burst: num(w, "depth", 0.0),
+    }
+}
+
+fn terms(w: &[&str], frontends: Vec<Frontend>, plans: Vec<Plan>) -> Terms {
+    Terms {
+        seed: 1,
+        gateways: num(w, "gateways", 2.0) as usize,
+        zone: 0,
+        period: Span::millis(2),
+        frontends,
+        plans,
+        counter: num(w, "counter", 1.0) > 0.0,
+        count_wait: Span::millis(50),
+        largest: 1.0,
+        settles: num(w, "settles", 0.0) > 0.0,
+        ask_list: num(w, "ask", 0.0) > 0.0,
+        max_dispatches: 6,
+        may_duplicate: num(w, "duplicate", 1.0) > 0.0,
+        may_cancel: true,
+        may_hint: num(w, "hint", 0.0) > 0.0,
+        longest_hint: Span::from_secs(0.5),
+        cold_from: 0.2,
+        warm_after: Span::from_secs(10.0),
+        fall_multiple: 3.0,
+        fall_window: Span::from_secs(2.0),
+    }
+}
+
+fn outcome(word: &str) -> Option<Outcome> {
+    Some(match word {
+        "passed" => Outcome::Passed,
+        "error" => Outcome::Error,
+        "full" => Outcome::Full,
+        "lost" => Outcome::NoConnection,
+        "reset" => Outcome::Reset,
+        "timeout" => Outcome::TimedOut,
+        _ => return None,
+    })
+}
+
+impl Play {
+    fn feed(&mut self, events: Vec<Event>) {
+        let mut acts = Vec::new();
+        self.ctl.round(Point::from_secs(self.now), events, &mut acts);
+        for a in acts {
+            let line = match a {
+                Action::Timer { after, .. } => {
+                    self.timers.push(self.now + after.secs().max(0.001));
+                    continue;
+                }
+                Action::Count { name, amount, .. } => {
+                    self.calls.push_back(name);
+                    let kind = if name & 1 == 1 { "lease" } else { "quota" };
+                    format!("count {kind} {} {amount:+}", name >> 24)
+                }
+                Action::Dispatch { id, srv, .. } => {
+                    let nth = self.sent.keys().filter(|k| k.0 == id).count() as u16;
+                    self.sent.insert((id, nth), self.now);
+                    format!("dispatch {id} srv {srv}")
+                }
+                Action::Deny { id, back_off } => format!("deny {id} after {:.2}", back_off.secs()),
+                Action::Abort { id } => format!("abort {id}"),
+                Action::Cancel { id, nth } => format!("cancel {id}/{nth}"),
+                other => format!("{other:?}").to_lowercase(),
+            };
+            self.log.push(line);
+        }
+    }
+
+    fn until(&mut self, t: f64) {
+        while let Some(i) = (0..self.timers.len()).min_by(|&a, &b| self.timers[a].total_cmp(&self.timers[b]))
+        {
+            if self.timers[i] >= t {
+                break;
+            }
+            self.now = self.timers.swap_remove(i);
+            self.feed(vec![Event::Timer { token: 0 }]);
+        }
+        self.now = t;
+    }
+
+    fn event(&mut self, w: &[&str]) {
+        let counted = |name, total, how| Event::Counted { name, total, how };
+        let event = match w[0] {
+            "wait" => return,
+            "total" => {
+                let name = self.calls.pop_front().expect("a counter call");
+                counted(name, w[1].parse().expect("a total"), Outcome::Passed)
+            }
+            "silence" | "refuse" => {
+                let how = if w[0] == "silence" { Outcome::TimedOut } else { Outcome::Full };
+                let all = self.calls.drain(..).map(|n| counted(n, 0.0, how)).collect();
+                return self.feed(all);
+            }
+            "list" => {
+                let kind = match w[1] {
+                    "full" => ListKind::Full,
+                    "delta" => ListKind::Delta,
+                    "failed" => ListKind::Failed,
+                    _ => ListKind::Cached,
+                };
+                let row = |w: &&str| SrvRow {
+                    srv: w.split(',').next().expect("a srv").parse().expect("a srv"),
+                    zone: num(&[w], "zone", 0.0) as u16,
+                    cell: num(&[w], "cell", 0.0) as u16,
+                    state: match key(&[w], "state") {
+                        Some("gone") => SrvState::Gone,
+                        Some("draining") => SrvState::Draining,
+                        _ => SrvState::Ready,
+                    },
+                    weight: 1.0,
+                    born: key(&[w], "born").map(|b| Point::from_secs(b.parse().expect("a time"))),
+                };
+                Event::List { kind, rows: w[2..].iter().map(row).collect() }
+            }
+            "req" => Event::Req(NewReq {
+                id: w[1].parse().expect("an id"),
+                frontend: num(w, "frontend", 0.0) as u16,
+                repeat: false,
+                units: num(w, "units", 1.0),
+                customer: num(w, "customer", 7.0) as u64,
+                plan: num(w, "plan", 0.0) as u32,
+                spread: num(w, "spread", 2.0),
+                left: Span::from_secs(num(w, "left", 3.0)),
+            }),
+            "begun" => Event::Begun { id: w[1].parse().expect("an id"), nth: 0 },
+            "left" => Event::Left { id: w[1].parse().expect("an id") },
+            word => {
+                let how = outcome(word).expect("a known event");
+                let (id, nth) = w[1].split_once('/').expect("ID/NTH");
+                let (id, nth) = (id.parse().expect("an id"), nth.parse().expect("a number"));
+                let took = Span::from_secs(self.now - self.sent.get(&(id, nth)).unwrap_or(&self.now));
+                let (closed, billed) = (how == Outcome::Passed, num(w, "billed", 0.0));
+                Event::Ended(Ended { id, nth, how, took, closed, billed }, Vec::new())
+            }
+        };
+        self.feed(vec![event]);
+    }
+}
+
+#[test_case("quota"; "the quota is charged before sending and taken back on a denial")]
+#[test_case("lease"; "leases are returned, carried over and capped")]
+fn scenario(name: &str) {
+    let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("the scenario");
+    let (mut frontends, mut plans, mut head) = (Vec::new(), Vec::new(), Vec::new());
+    let mut play: Option<Play> = None;
+    for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.is_empty() && !l.starts_with('#')) {
+        let w: Vec<&str> = line.split_whitespace().collect();
+        let seen = |p: &Option<Play>, text: &str| {
+            let log = &p.as_ref().expect("an event first").log;
+            (
+                log.iter().filter(|l| l.starts_with(text)).count(),
+                format!("line {}: {line}\nseen: {log:#?}", n + 1),
+            )
+        };
+        match w[0] {
+            "terms" => head = w,
+            "frontend" => frontends.push(frontend(&w)),
+            "plan" => plans.push(plan(&w)),
+            ">" => assert!(seen(&play, &line[2..]).0 > 0, "{}", seen(&play, &line[2..]).1),
+            "!" => assert!(seen(&play, &line[2..]).0 == 0, "{}", seen(&play, &line[2..]).1),
+            "=" => {
+                let (found, told) = seen(&play, line[2..].split_once(' ').expect("N TEXT").1);
+                assert_eq!(found.to_string(), w[1], "{told}");
+            }
+            "restart" => play = None,
+            _ => {
+                let p = play.get_or_insert_with(|| Play {
+                    ctl: Control::new(terms(&head, frontends.clone(), plans.clone())),
+                    now: 0.0,
+                    log: Vec::new(),
+                    calls: VecDeque::new(),
+                    timers: Vec::new(),
+                    sent: Default::default(),
+                });
+                p.log.clear();
+                p.until(w[0].strip_prefix('@').and_then(|t| t.parse().ok()).expect("@TIME"));
+                p.event(&w[1..]);
+            }
+        }
+    }
+}
