--- a/src/control.rs
+++ b/src/control.rs
@@ -1,132 +1,35 @@
 //! All decisions of a gateway. `Control::new(terms)` at start, then `round(now, events, actions)` for each
-//! batch; events, actions and terms are defined in `link`. Events change the wanted state (what should be
+//! batch; terms, events and actions are defined in `link`. Events change the wanted state (what should be
 //! out, held on the counter, timed); `settle` alone compares it with the present one and emits the difference.
 
 use crate::link::*;
-use crate::tables::{Door, Slab};
+use crate::tables::*;
 use crate::time::{Point, Span};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Stage {
-    Charging,
-    Waiting,
-    Out,
-    Over,
-}
-
-#[derive(Clone, Copy)]
-enum End {
-    Deny(Span),
-    Abort,
-}
-
-struct Try {
-    srv: usize,
-    sent: Point,
-    running: bool,
-    ran: bool, // may have run, as far as is known
-    overdue: bool,
-    drop: bool, // wanted no more: to be cancelled
-}
-
-struct Req {
-    id: u64,
-    frontend: usize,
-    customer: usize,
-    units: f64,
-    ends: Point,
-    target: Point,
-    stage: Stage,
-    verdicts: u8, // counter answers still owed
-    charged: bool,
-    begun: bool,
-    tries: Vec<Try>,
-    want: Vec<usize>, // srvs that it should have been dispatched to, in order
-    end: Option<End>,
-}
-
-/// A name on the counter as seen from here. Amounts not yet in an answered total are `flying` or `owed`.
 #[derive(Default)]
-struct Account {
-    epoch: u64,
-    total: f64,
-    seen: Option<Point>,
-    put: f64,
-    put_next: f64,
-    flying: f64,
-    owed: f64,
-    doubt: f64,
-    joins: Vec<usize>,
-    urgent: bool,
-}
-
-struct Customer {
-    plan: usize,
-    spread: f64,
-    quota: Account,
-    level: f64, // the store as the last total leaves it
-    level_at: Point,
-    run: f64, // the same with what was sent since
-    run_at: Point,
-    own: f64,
-    all: f64,
-    lease: Account,
-    held: f64,
-    ceiling: f64, // this gateway's slice of the hard ceiling
-    ceiling_at: Point,
-    queue: VecDeque<usize>,
-    deficit: f64,
-    dirty: bool,
-}
-
-struct Call {
-    customer: usize,
-    lease: bool,
-    epoch: u64,
-    amount: f64,
-    units: f64,
-    joins: Vec<(usize, u64)>,
-}
-
-/// Figures about srvs, in parallel arrays under a dense index.
-#[derive(Default)]
-struct Srvs {
-    door: Door,
-    zone: Vec<u16>,
-    cell: Vec<u16>,
-    ready: Vec<bool>,
-    born: Vec<Option<Point>>,
-    out: Vec<u32>,
-    pace: Vec<f64>,     // time taken over the frontend's usual, smoothed
-    evidence: Vec<f64>, // log likelihood ratio of sick to sound
-    distrust: Vec<f64>,
-    faded: Vec<Point>, // when distrust was last brought up to date
-    squeeze: Vec<f64>, // credit share left after answers that it is full
-    passed: Vec<f64>,  // answers a second, smoothed
-    tokens: Vec<f64>,  // sends that a cold srv may still get
-}
-
 pub struct Control {
     terms: Terms,
     rng: fastrand::Rng,
     now: Point,
-    started: Point,
+    began: Point,
     reqs: Slab<Req>,
     door: Door,
     customers: Vec<Customer>,
     srvs: Srvs,
-    calls: HashMap<u64, VecDeque<Call>>,
+    calls: HashMap<u64, VecDeque<Call>>, // by name, in the order of the calls
     misses: u32,
     silent: bool,
+    crowd: f64,
     trial_at: Point,
     limit: f64,
     cut: bool,
     out: u32,
-    ring: VecDeque<usize>,
-    usual: Vec<f64>,
-    tail: Vec<f64>,
+    waiting: usize,
+    ring: VecDeque<usize>, // customers with waiters
+    usual: Vec<f64>,       // by frontend: time taken, smoothed
+    tail: Vec<f64>,        // by frontend: its 95th percentile, smoothed
     samples: Vec<Vec<f64>>,
     full: u32,
     late_share: f64,
@@ -140,80 +43,40 @@
     asks: bool,
 }
 
-/// A quota window: near the longest life of a name, so that rolling, which forgets others' last use, is rare.
-const WINDOW: f64 = 30.0;
-/// DESIGN: in-flight names roll every two seconds; totals older than that are stale.
-const ROLL: f64 = 2.0;
-/// Leases go to the next name this long ahead: several counter round trips.
-const LEAD: f64 = 0.1;
-/// DESIGN: the pool starts at a set figure per ready srv: some cores' worth of work and a short queue.
-const START_PER_SRV: f64 = 4.0;
-/// Unanswered counter calls in a row that count as silence; one or two happen on a crowded counter.
-const SILENT_AFTER: u32 = 3;
-/// While silent one call in this time tries the counter: soon enough against two seconds of staleness.
-const TRIAL: Span = Span::millis(200);
-/// Own and total use are remembered about this long: the spread of a customer moves within some seconds.
-const SHARE_MEMORY: f64 = 8.0;
-/// Evidence that convicts a srv: odds of 100 to 1.
-const CONVICTED: f64 = 4.6;
-/// Distrust fades with this time constant: a few trials within the length of a short trouble.
-const FADE: f64 = 5.0;
-/// Second copies per first dispatch: about the share that is overdue when all is well, and some more.
-const COPY_SHARE: f64 = 0.15;
-
 fn blend(old: &mut f64, new: f64, share: f64) {
     *old += (new - *old) * share;
 }
 
 impl Control {
     pub fn new(terms: Terms) -> Control {
-        let n = terms.frontends.len();
-        let usual = terms.frontends.iter().map(|f| f.target.secs() / 5.0).collect();
-        let tail = terms.frontends.iter().map(|f| f.target.secs() / 2.0).collect();
+        let targets = || terms.frontends.iter().map(|f| f.target.secs());
         Control {
             rng: fastrand::Rng::with_seed(terms.seed),
             asks: terms.ask_list,
-            now: Point::default(),
-            started: Point::default(),
-            reqs: Slab::default(),
-            door: Door::default(),
-            customers: Vec::new(),
-            srvs: Srvs::default(),
-            calls: HashMap::new(),
-            misses: 0,
             silent: !terms.counter,
-            trial_at: Point::default(),
-            limit: 0.0,
-            cut: false,
-            out: 0,
-            ring: VecDeque::new(),
-            usual,
-            tail,
-            samples: vec![Vec::new(); n],
-            full: 0,
-            late_share: 0.05,
-            bad_share: 0.02,
-            copies: 5.0,
-            second_at: Point::default(),
-            wakes: BinaryHeap::new(),
-            armed: None,
-            touched: Vec::new(),
-            dirty: Vec::new(),
+            // first guesses until answers come: targets are set some times above the usual time
+            usual: targets().map(|t| t / 5.0).collect(),
+            tail: targets().map(|t| t / 2.0).collect(),
+            samples: targets().map(|_| Vec::new()).collect(),
             terms,
+            ..Control::default()
         }
     }
 
     pub fn round(&mut self, now: Point, events: Vec<Event>, acts: &mut Vec<Action>) {
-        if self.started == Point::default() {
-            self.started = now;
-            self.second_at = now + Span::from_secs(1.0);
+        if self.began == Point::default() {
+            (self.began, self.second_at) = (now, now.later(1.0));
         }
         self.now = now;
         for e in events {
             match e {
                 Event::List { kind, rows } => self.list(kind, &rows),
                 Event::Req(r) => self.arrive(r),
-                Event::Begun { id, .. } => self.with(id, |r| r.begun = true),
+                Event::Begun { id, .. } => {
+                    if let Some(r) = self.reqs.find(id).and_then(|i| self.reqs.at_mut(i)) {
+                        r.begun = true;
+                    }
+                }
                 Event::Ended(e, _) => self.ended(e),
                 Event::Left { id } => self.close(id),
                 Event::Counted { name, total, how } => self.counted(name, total, how),
@@ -221,47 +84,42 @@
                 Event::Probed { .. } | Event::Peer { .. } => {}
             }
         }
-        self.clock();
-        self.pump();
-        self.settle(acts);
-    }
-
-    fn with(&mut self, id: u64, f: impl FnOnce(&mut Req)) {
-        if let Some(r) = self.reqs.find(id).and_then(|i| self.reqs.at_mut(i)) {
-            f(r);
-        }
-    }
-
-    // ---- time ----
-
-    fn clock(&mut self) {
-        while self.now >= self.second_at {
+        while now >= self.second_at {
             self.second();
-            self.second_at = self.second_at + Span::from_secs(1.0);
+            self.second_at = self.second_at.later(1.0);
         }
-        let phase = self.now.secs() % ROLL;
-        if phase > ROLL - LEAD {
-            for c in 0..self.customers.len() {
-                if self.customers[c].held > 0.0 {
-                    self.mark(c);
-                }
-            }
+        if now.secs() % ROLL > ROLL - LEAD {
+            (0..self.customers.len())
+                .filter(|&c| self.customers[c].held > 0.0)
+                .for_each(|c| self.dirty.push(c));
         }
-        while self.wakes.peek().is_some_and(|Reverse(w)| w.0 <= self.now) {
+        while self.wakes.peek().is_some_and(|Reverse(w)| w.0 <= now) {
             let Some(Reverse((_, slot, id))) = self.wakes.pop() else { break };
             if self.reqs.at(slot).is_some_and(|r| r.id == id) {
                 self.review(slot);
             }
         }
+        self.pump();
+        self.settle(acts);
+    }
+
+    fn wake(&mut self, at: Point, slot: usize) {
+        if let Some(r) = self.reqs.at(slot) {
+            self.wakes.push(Reverse((at, slot, r.id)));
+        }
     }
 
-    /// AIMD on the pool limit (DESIGN); samples of srvs under suspicion are left out in `ended`, since a few
-    /// sick srvs say nothing of the room in the others.
+    // ---- the pool and its srvs ----
+
+    /// AIMD on the pool limit (DESIGN). Samples of srvs under suspicion are left out in `ended`, since a few
+    /// sick srvs say nothing of the room in the others. Until the first cut the climb is faster, since a fresh
+    /// gateway lags warm srvs.
     fn second(&mut self) {
-        let ready = self.srvs.ready.iter().filter(|r| **r).count().max(1) as f64;
+        let ready = self.srvs.open().count().max(1) as f64;
         let (mut late, mut seen) = (false, self.full as usize);
         for (f, s) in self.samples.iter_mut().enumerate() {
             seen += s.len();
+            // ten samples: fewer have no 95th percentile to speak of (the source: with too few, no move)
             if s.len() >= 10 {
                 s.sort_by(f64::total_cmp);
                 let p95 = s[s.len() * 95 / 100];
@@ -271,107 +129,84 @@
             s.clear();
         }
         if late || self.full as f64 > 0.1 * seen as f64 {
-            self.limit = (self.limit * 0.7).max(ready);
-            self.cut = true;
+            (self.limit, self.cut) = (self.limit * 0.7, true);
         } else if seen >= 10 {
-            // until the first cut the climb is faster: a fresh gateway lags warm srvs
             self.limit += if self.cut { 1.0 } else { ready / 4.0 };
         }
-        self.limit = self.limit.min(4.0 * START_PER_SRV * ready);
+        // never under one a srv, or nothing would be learnt; never so high that a cut would not be felt
+        self.limit = self.limit.clamp(ready, 4.0 * START_PER_SRV * ready);
         self.full = 0;
-        let s = &mut self.srvs;
-        for i in 0..s.ready.len() {
-            s.passed[i] *= 0.75;
-            s.squeeze[i] = (s.squeeze[i] * 1.2).min(1.0);
-        }
         for i in 0..self.srvs.ready.len() {
             let rate = self.cold_rate(i);
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
-            self.srvs.tokens[i] = (self.srvs.tokens[i] + rate).min(most);
+            let s = &mut self.srvs;
+            s.tokens[i] = (s.tokens[i] + rate).min(most);
+            s.passed[i] *= 0.75;
+            s.squeeze[i] = (s.squeeze[i] * 1.2).min(1.0);
         }
     }
 
-    // ---- the list of srvs ----
-
+    /// Follows the list; the pool limit keeps its figure per ready srv when the fleet shrinks or grows.
     fn list(&mut self, kind: ListKind, rows: &[SrvRow]) {
         if kind == ListKind::Failed {
             self.asks = self.terms.ask_list;
             return;
         }
-        let (now, s) = (self.now, &mut self.srvs);
+        let before = self.srvs.open().count() as f64;
+        let s = &mut self.srvs;
         if kind != ListKind::Delta {
             s.ready.iter_mut().for_each(|r| *r = false);
         }
         for row in rows {
-            let (i, new) = s.door.enter(row.srv as u64);
-            if new {
-                s.zone.push(0);
-                s.cell.push(0);
-                s.ready.push(false);
-                s.born.push(row.born);
-                s.out.push(0);
-                s.pace.push(1.0);
-                s.evidence.push(0.0);
-                s.distrust.push(0.0);
-                s.faded.push(now);
-                s.squeeze.push(1.0);
-                s.passed.push(0.0);
-                s.tokens.push(1.0);
-            }
+            let (i, new) = s.enter(row.srv);
             (s.zone[i], s.cell[i], s.ready[i]) = (row.zone, row.cell, row.state == SrvState::Ready);
-            if s.born[i] != row.born {
+            if new || s.born[i] != row.born {
                 // a process that started anew has nothing of the old one's record
-                (s.born[i], s.evidence[i], s.distrust[i], s.pace[i]) = (row.born, 0.0, 0.0, 1.0);
-                (s.squeeze[i], s.tokens[i], s.passed[i]) = (1.0, 1.0, 0.0);
+                (s.born[i], s.pace[i], s.squeeze[i], s.tokens[i]) = (row.born, 1.0, 1.0, 1.0);
+                (s.evidence[i], s.distrust[i], s.passed[i]) = (0.0, 0.0, 0.0);
             }
         }
-        let ready = s.ready.iter().filter(|r| **r).count() as f64;
-        if self.limit == 0.0 {
-            self.limit = START_PER_SRV * ready;
-        }
+        let ready = s.open().count() as f64;
+        self.limit = if before == 0.0 { START_PER_SRV * ready } else { self.limit * ready / before };
     }
 
     /// What a srv can do now as a share of its full capacity, going by the slowest warming that the rules allow.
     fn warmth(&self, i: usize) -> f64 {
         let Some(born) = self.srvs.born[i] else { return 1.0 };
-        let part = (self.now - born).secs() / self.terms.warm_after.secs().max(1e-3);
-        (self.terms.cold_from + (1.0 - self.terms.cold_from) * part.max(0.0)).min(1.0)
+        let part = self.now.since(born).max(0.0) / self.terms.warm_after.secs().max(1e-3);
+        (self.terms.cold_from + (1.0 - self.terms.cold_from) * part).min(1.0)
     }
 
     /// Sends a second that a cold srv may get from this gateway: half the rule's budget over what warm srvs
     /// answer, which they can't do beyond their capacity. Own answers count only, so all gateways' parts add up.
     fn cold_rate(&self, i: usize) -> f64 {
-        let (mut sum, mut n) = (0.0, 0.0);
-        for j in 0..self.srvs.ready.len() {
-            if self.srvs.ready[j] && self.warmth(j) >= 1.0 {
-                (sum, n) = (sum + self.srvs.passed[j] / 4.0, n + 1.0);
-            }
-        }
-        let warm = if n > 0.0 { sum / n } else { 0.0 };
-        // a floor of one send a second over all gateways, where nothing is known
-        (0.5 * self.terms.fall_multiple * self.warmth(i) * warm).max(1.0 / self.terms.gateways as f64)
+        let warm: Vec<usize> = self.srvs.open().filter(|&j| self.warmth(j) >= 1.0).collect();
+        let rate = warm.iter().map(|&j| self.srvs.passed[j] / 4.0).sum::<f64>() / warm.len().max(1) as f64;
+        // one send a second over all gateways, where nothing is known
+        (0.5 * self.terms.fall_multiple * self.warmth(i) * rate).max(1.0 / self.terms.gateways.max(1) as f64)
     }
 
     fn distrust(&mut self, i: usize) -> f64 {
+        /// Distrust fades with this time constant: a few trials within the length of a short trouble.
+        const FADE: f64 = 5.0;
         let s = &mut self.srvs;
-        s.distrust[i] *= (-(self.now - s.faded[i]).secs() / FADE).exp();
+        s.distrust[i] *= (-self.now.since(s.faded[i]) / FADE).exp();
         s.faded[i] = self.now;
         s.distrust[i]
     }
 
-    /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades.
+    /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades. What
+    /// is out at a convicted srv is looked at again, whatever made it sick.
     fn evidence(&mut self, i: usize, weight: f64) {
+        /// Odds of 100 to 1.
+        const CONVICTED: f64 = 4.6;
         self.distrust(i);
-        let e = (self.srvs.evidence[i] + weight).max(0.0);
-        self.srvs.evidence[i] = e;
-        if e >= CONVICTED {
-            self.srvs.evidence[i] = CONVICTED / 2.0;
-            self.srvs.distrust[i] = 1.0;
+        self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
+        if self.srvs.evidence[i] >= CONVICTED {
+            (self.srvs.evidence[i], self.srvs.distrust[i]) = (CONVICTED / 2.0, 1.0);
             for slot in self.reqs.slots() {
-                let stuck = |t: &Try| t.running && t.srv == i;
-                if self.reqs.at(slot).is_some_and(|r| r.tries.iter().any(stuck)) {
-                    let id = self.reqs.at(slot).map_or(0, |r| r.id);
-                    self.wakes.push(Reverse((self.now, slot, id)));
+                if self.reqs.at(slot).is_some_and(|r| r.tries.iter().any(|t| t.running && t.srv == i)) {
+                    self.wake(self.now, slot);
                 }
             }
         }
@@ -380,25 +215,20 @@
     /// Each srv has credits by its pace, trust, warmth and recent fullness; a send spends one, an answer earns
     /// it back. The send goes where the largest part is left; home zone first where it is nearly equal.
     fn pick(&mut self, slot: usize) -> Option<usize> {
-        let ready = self.srvs.ready.iter().filter(|r| **r).count().max(1) as f64;
-        let base = (1.5 * self.limit / ready).max(2.0);
+        let base = (1.5 * self.limit / self.srvs.open().count().max(1) as f64).max(2.0);
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
-            if !self.srvs.ready[i] || !self.may_go(slot, i) {
-                continue;
-            }
             let (distrust, warm) = (self.distrust(i), self.warmth(i));
-            if warm < 1.0 && self.srvs.tokens[i] < 1.0 {
+            if !self.may_go(slot, i) || warm < 1.0 && self.srvs.tokens[i] < 1.0 {
                 continue;
             }
             let s = &self.srvs;
             let credit = base * s.squeeze[i] * warm * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
-            let out = s.out[i] as f64;
-            if out >= credit.max(if distrust > 0.5 { 0.0 } else { 1.0 }) {
+            if s.out[i] as f64 >= credit.max(if distrust > 0.5 { 0.0 } else { 1.0 }) {
                 continue;
             }
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
-            let cost = (out + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
+            let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
             if best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
             }
@@ -406,32 +236,25 @@
         best.map(|b| b.1)
     }
 
-    /// Whether the rules let this req go to this srv now (repeats, groups, memory, attempts).
+    /// Whether the rules let this req go to this srv now (drains, repeats, groups, memory, dispatches).
     fn may_go(&self, slot: usize, i: usize) -> bool {
         let Some(r) = self.reqs.at(slot) else { return false };
-        let f = &self.terms.frontends[r.frontend];
-        if r.want.len() >= self.terms.max_dispatches as usize || r.begun || r.end.is_some() {
+        let (f, s) = (&self.terms.frontends[r.frontend], &self.srvs);
+        if !s.ready[i] || r.tries.len() >= self.terms.max_dispatches as usize || r.begun || r.end.is_some() {
             return false;
         }
-        let running = r.tries.iter().any(|t| t.running);
-        if running && !self.terms.may_duplicate || r.tries.iter().any(|t| t.running && t.srv == i) {
+        if r.tries.iter().any(|t| t.running && (t.srv == i || !self.terms.may_duplicate)) {
             return false;
         }
         let Some(first) = r.tries.iter().find(|t| t.ran) else { return true };
-        match f.effect {
-            Effect::Replayable => true,
-            Effect::NonReplayable => false,
-            Effect::Uniqued => {
-                let s = &self.srvs;
-                let same = match f.group {
-                    Group::All => true,
-                    Group::Zone => s.zone[first.srv] == s.zone[i],
-                    Group::Cell => s.cell[first.srv] == s.cell[i],
-                };
-                // a margin for the way there: the srv's memory may run from before the send is seen
-                same && self.now - first.sent < f.memory.times(0.9)
-            }
-        }
+        let same = match f.group {
+            Group::All => true,
+            Group::Zone => s.zone[first.srv] == s.zone[i],
+            Group::Cell => s.cell[first.srv] == s.cell[i],
+        };
+        // nine tenths of the memory: the srv's may run from before the send is seen
+        let known = same && self.now - first.sent < f.memory.times(0.9);
+        f.effect == Effect::Replayable || f.effect == Effect::Uniqued && known
     }
 
     // ---- a req's life ----
@@ -439,83 +262,58 @@
     fn arrive(&mut self, n: NewReq) {
         let (c, new) = self.door.enter(n.customer);
         let plan = (n.plan as usize).min(self.terms.plans.len().max(1) - 1);
-        let p = &self.terms.plans[plan];
+        let p = self.terms.plans[plan].clone();
         if new {
-            self.customers.push(Customer {
-                plan,
-                spread: n.spread.max(1.0),
-                quota: Account::default(),
-                level: p.burst,
-                level_at: self.now,
-                run: p.burst,
-                run_at: self.now,
-                own: 0.0,
-                all: 0.0,
-                lease: Account::default(),
-                held: 0.0,
-                ceiling: 0.0,
-                ceiling_at: self.started,
-                queue: VecDeque::new(),
-                deficit: 0.0,
-                dirty: false,
-            });
+            let (now, burst) = (self.now, p.burst);
+            let fresh =
+                Customer { plan, level: burst, level_at: now, run: burst, run_at: now, ..Default::default() };
+            self.customers.push(Customer { ceiling_at: self.began, ..fresh });
         }
         self.customers[c].spread = n.spread.max(1.0);
         let frontend = (n.frontend as usize).min(self.terms.frontends.len() - 1);
+        let target = self.now + self.terms.frontends[frontend].target;
+        // the final answer leaves a little ahead of the client timeout
         let ends = self.now + n.left - self.terms.period - Span::millis(2);
-        let r = Req {
-            id: n.id,
-            frontend,
-            customer: c,
-            units: n.units,
-            ends,
-            target: self.now + self.terms.frontends[frontend].target,
-            stage: Stage::Charging,
-            verdicts: 0,
-            charged: false,
-            begun: false,
-            tries: Vec::new(),
-            want: Vec::new(),
-            end: None,
-        };
+        let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
         let slot = self.reqs.put(n.id, r);
-        self.wakes.push(Reverse((ends, slot, n.id)));
+        self.wake(ends, slot);
         let (rated, capped) = (p.rate > 0.0, p.at_once > 0);
-        if !self.ceiling(c, n.units) {
+        // behind more waiters than are answered until its target, it would only be denied later
+        let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
+        let slack = self.terms.frontends[frontend].target.secs() - self.typical(frontend);
+        let hopeless = self.waiting as f64 > (answers * slack).max(self.limit);
+        let no_room = rated && self.room(c) < n.units || capped && self.lease_full(c);
+        if hopeless || no_room || !self.ceiling(c, n.units) {
             return self.end(slot, false);
         }
-        if rated && self.room(c) < n.units || capped && self.lease_full(c) {
+        let cust = &self.customers[c];
+        let rated_alone = self.silent || cust.run >= (1.0 - self.crowd) * p.burst + n.units;
+        let fresh = cust.lease.seen.is_some_and(|s| self.now.since(s) < ROLL);
+        let capped_alone =
+            self.silent || fresh && cust.lease.total.max(cust.held) < self.crowd * p.at_once as f64;
+        if self.silent && capped && !self.lease_alone(c) {
             return self.end(slot, false);
         }
-        if self.silent {
-            if rated && self.run_take(c, n.units) || capped && !self.lease_alone(c) {
-                return self.end(slot, false);
-            }
-            self.customers[c].held += 1.0;
-            if rated {
-                self.customers[c].quota.owed += n.units;
-            }
-            self.with(n.id, |r| r.charged = rated);
-            self.mark(c);
-            return self.admit(slot);
-        }
+        let share = if rated && rated_alone { self.share(c) } else { 1.0 };
         let cust = &mut self.customers[c];
         cust.held += 1.0;
+        let mut verdicts = 0;
         if rated {
-            cust.run -= n.units;
+            cust.run -= n.units / share;
             cust.quota.owed += n.units;
-            cust.quota.joins.push(slot);
+            if !rated_alone {
+                cust.quota.joins.push(slot);
+                verdicts += 1;
+            }
         }
-        if capped {
+        if capped && !capped_alone {
             cust.lease.joins.push(slot);
+            verdicts += 1;
         }
-        self.mark(c);
-        let verdicts = rated as u8 + capped as u8;
-        if let Some(r) = self.reqs.at_mut(slot) {
-            (r.verdicts, r.charged) = (verdicts, rated);
-        }
-        if verdicts == 0 {
-            self.admit(slot);
+        self.dirty.push(c);
+        match self.reqs.at_mut(slot) {
+            Some(r) if verdicts > 0 => r.verdicts = verdicts,
+            _ => self.admit(slot),
         }
     }
 
@@ -524,30 +322,24 @@
     fn ceiling(&mut self, c: usize, units: f64) -> bool {
         let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
-        if p.ceiling_rate <= 0.0 {
-            return true;
-        }
-        let gained = p.ceiling_rate / cust.spread * (self.now - cust.ceiling_at).secs();
+        let gained = p.ceiling_rate / cust.spread * self.now.since(cust.ceiling_at);
         cust.ceiling = (cust.ceiling + gained).min(p.ceiling_burst / cust.spread);
         cust.ceiling_at = self.now;
-        let fits = cust.ceiling >= units;
-        if fits {
-            cust.ceiling -= units;
-        }
+        let fits = p.ceiling_rate <= 0.0 || cust.ceiling >= units;
+        cust.ceiling -= if fits { units } else { 0.0 };
         fits
     }
 
     fn admit(&mut self, slot: usize) {
         let Some(r) = self.reqs.at_mut(slot) else { return };
         r.stage = Stage::Waiting;
-        let c = r.customer;
-        let give_up = r.target - Span::from_secs(self.usual[r.frontend]);
-        let w = (give_up.min(r.ends), slot, r.id);
-        self.wakes.push(Reverse(w));
+        let (c, target, f) = (r.customer, r.target, r.frontend);
+        self.wake(target - Span::from_secs(self.typical(f)), slot);
         if self.customers[c].queue.is_empty() {
             self.ring.push_back(c);
         }
         self.customers[c].queue.push_back(slot);
+        self.waiting += 1;
     }
 
     /// Weighted deficit round robin over customers: a turn is worth as many grants as the plan's weight.
@@ -558,20 +350,24 @@
                 self.customers[c].deficit = 0.0;
                 continue;
             };
-            if self.reqs.at(slot).is_none_or(|r| r.stage != Stage::Waiting || r.customer != c) {
+            let waits = |r: &Req| r.stage == Stage::Waiting && r.customer == c && r.end.is_none();
+            if !self.reqs.at(slot).is_some_and(waits) {
                 self.customers[c].queue.pop_front();
+                self.waiting -= 1;
                 continue;
             }
-            if self.out as f64 >= self.limit {
+            let Some(srv) = Some(slot).filter(|_| (self.out as f64) < self.limit).and_then(|s| self.pick(s))
+            else {
                 break;
-            }
+            };
             if self.customers[c].deficit < 1.0 {
                 self.customers[c].deficit += self.weight(c);
             }
-            let Some(srv) = self.pick(slot) else { break };
             self.customers[c].queue.pop_front();
+            self.waiting -= 1;
             self.customers[c].deficit -= 1.0;
-            self.copies = (self.copies + COPY_SHARE).min(10.0);
+            // second copies per first dispatch: the share that is overdue when all is well, and some more
+            self.copies = (self.copies + 0.15).min(10.0);
             self.send(slot, srv);
             if self.customers[c].deficit < 1.0 {
                 self.ring.rotate_left(1);
@@ -583,13 +379,8 @@
     fn weight(&self, c: usize) -> f64 {
         let figure = |p: &Plan| if p.rate > 0.0 { (p.rate, true) } else { (p.at_once as f64, false) };
         let (own, kind) = figure(&self.terms.plans[self.customers[c].plan]);
-        let all = self.terms.plans.iter().map(figure).filter(|f| f.1 == kind);
-        let least = all.map(|f| f.0).fold(own, f64::min);
-        if least > 0.0 {
-            (own / least).round().max(1.0)
-        } else {
-            1.0
-        }
+        let alike = self.terms.plans.iter().map(figure).filter(|f| f.1 == kind);
+        (own / alike.map(|f| f.0).fold(own, f64::min).max(1e-9)).round().max(1.0)
     }
 
     fn send(&mut self, slot: usize, srv: usize) {
@@ -598,19 +389,30 @@
         }
         let Some(r) = self.reqs.at_mut(slot) else { return };
         if r.stage == Stage::Out {
-            self.customers[r.customer].held += 1.0;
-            let c = r.customer;
-            r.want.push(srv);
-            self.mark(c);
-        } else {
-            r.stage = Stage::Out;
-            r.want.push(srv);
-        }
+            self.customers[r.customer].held += 1.0; // the first dispatch has the lease of the queue
+            self.dirty.push(r.customer);
+        }
+        r.stage = Stage::Out;
+        r.tries.push(Try {
+            srv,
+            sent: self.now,
+            told: false,
+            running: true,
+            ran: true,
+            overdue: false,
+            drop: false,
+        });
         self.srvs.out[srv] += 1;
         self.out += 1;
         self.touched.push(slot);
     }
 
+    /// The usual time, but never so much of the target that nothing would be tried: a slow spell must not
+    /// stop the traffic that would show its end.
+    fn typical(&self, f: usize) -> f64 {
+        self.usual[f].min(0.5 * self.terms.frontends[f].target.secs())
+    }
+
     fn overdue_after(&self, f: usize) -> f64 {
         let target = self.terms.frontends[f].target.secs();
         (1.2 * self.tail[f]).clamp(0.25 * target, 0.6 * target)
@@ -619,37 +421,32 @@
     /// Looks at one req anew: its end, its place in the queue, its overdue dispatches, the next wake.
     fn review(&mut self, slot: usize) {
         let Some(r) = self.reqs.at(slot) else { return };
-        let (id, f, stage) = (r.id, r.frontend, r.stage);
+        let (f, stage) = (r.frontend, r.stage);
         if r.end.is_some() || r.begun || stage == Stage::Over {
             return;
         }
-        if self.now >= r.ends {
+        // late answers may earn something too, but a queue that only makes late is no use
+        let late_too = self.terms.frontends[f].late_value > 0.0 && stage == Stage::Out;
+        let by = if late_too { r.ends } else { r.target.min(r.ends) };
+        let give_up = by - Span::from_secs(self.typical(f));
+        if self.now >= r.ends || stage == Stage::Waiting && self.now >= give_up {
             return self.end(slot, true);
         }
-        let worth = self.worth(slot);
-        if stage == Stage::Waiting {
-            // in the queue the target decides, late value or not: a queue that only makes late is no use
-            let give_up = r.target - Span::from_secs(self.usual[f]);
-            if self.now >= give_up {
-                return self.end(slot, true);
-            }
-            self.wakes.push(Reverse((give_up.max(self.now + Span::millis(5)), slot, id)));
-        }
-        if stage != Stage::Out {
-            return;
+        match stage {
+            Stage::Waiting => return self.wake(give_up.max(self.now + Span::millis(5)), slot),
+            Stage::Out => {}
+            _ => return,
         }
         let after = self.overdue_after(f);
-        let (mut running, mut sick) = (0, false);
-        let mut late = Vec::new();
-        let r = self.reqs.at_mut(slot).expect("looked up above");
-        for t in r.tries.iter_mut().filter(|t| t.running) {
-            running += 1;
-            let overdue = (self.now - t.sent).secs() >= after;
-            if overdue && !t.overdue {
+        let (mut running, mut sick, mut late) = (0, false, Vec::new());
+        for t in self.reqs.at_mut(slot).into_iter().flat_map(|r| &mut r.tries).filter(|t| t.running) {
+            let gone = self.now.since(t.sent);
+            if gone >= after && !t.overdue {
                 t.overdue = true;
-                late.push((t.srv, (self.now - t.sent).secs() / self.usual[f]));
+                late.push((t.srv, gone / self.usual[f].max(1e-3)));
             }
-            sick |= overdue || self.srvs.distrust[t.srv] > 0.5;
+            running += 1;
+            sick |= t.overdue || self.srvs.distrust[t.srv] > 0.5;
         }
         for (srv, pace) in late {
             blend(&mut self.late_share, 1.0, 0.02);
@@ -657,69 +454,54 @@
             // a fleet-wide slowness makes lateness weak evidence against one srv
             self.evidence(srv, (0.8 / self.late_share.clamp(0.05, 0.8)).ln());
         }
-        if running == 0 {
-            if !worth {
-                return self.end(slot, true);
-            }
-            match self.pick(slot) {
-                Some(srv) => self.send(slot, srv),
-                None if self.stuck(slot) => self.end(slot, true),
-                None => self.wakes.push(Reverse((self.now + Span::millis(20), slot, id))),
-            }
-        } else if sick && running < 2 && worth && self.copies >= 1.0 {
-            if let Some(srv) = self.pick(slot) {
-                self.copies -= 1.0;
+        // second copies only while the pool has room: where all is late, more load helps nobody
+        let copy = sick && running < 2 && self.copies >= 1.0 && self.ring.is_empty();
+        if running > 0 && !(copy && self.now < give_up && (self.out as f64) < self.limit) {
+            return;
+        }
+        match self.pick(slot).filter(|_| self.now < give_up) {
+            Some(srv) => {
+                self.copies -= if running > 0 { 1.0 } else { 0.0 };
                 self.send(slot, srv);
             }
+            None if running > 0 => {}
+            None if self.now < give_up && self.srvs.open().any(|i| self.may_go(slot, i)) => {
+                self.wake(self.now + Span::millis(20), slot)
+            }
+            None => self.end(slot, true),
         }
     }
 
-    /// No srv may ever take this req again, whatever becomes free.
-    fn stuck(&self, slot: usize) -> bool {
-        !(0..self.srvs.ready.len()).any(|i| self.srvs.ready[i] && self.may_go(slot, i))
-    }
-
-    /// Whether an answer of usual speed would still earn something.
-    fn worth(&self, slot: usize) -> bool {
-        let Some(r) = self.reqs.at(slot) else { return false };
-        let by = if self.terms.frontends[r.frontend].late_value > 0.0 { r.ends } else { r.target };
-        self.now + Span::from_secs(0.8 * self.usual[r.frontend]) < by.min(r.ends)
-    }
-
     fn ended(&mut self, e: Ended) {
         let Some(slot) = self.reqs.find(e.id) else { return };
         let Some(r) = self.reqs.at_mut(slot) else { return };
         let (f, c, units, over) = (r.frontend, r.customer, r.units, r.stage == Stage::Over);
         let Some(t) = r.tries.get_mut(e.nth as usize).filter(|t| t.running) else { return };
-        (t.running, t.ran) =
-            (false, !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent));
+        t.running = false;
+        t.ran = !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
         let (srv, was_late, sent) = (t.srv, t.overdue, t.sent);
         self.srvs.out[srv] -= 1;
         self.out -= 1;
         self.customers[c].held -= 1.0;
-        self.mark(c);
-        let took = e.took.secs();
+        self.dirty.push(c);
         match e.how {
             Outcome::Passed => {
-                let sound = self.distrust(srv) < 0.3 && self.srvs.pace[srv] < 2.5;
-                if sound {
+                let took = e.took.secs();
+                if self.distrust(srv) < 0.3 && self.srvs.pace[srv] < 2.5 {
                     self.samples[f].push(took);
                     blend(&mut self.usual[f], took, 0.03);
                 }
-                let pace = took / self.usual[f].max(1e-3);
-                blend(&mut self.srvs.pace[srv], pace.min(20.0), 0.1);
+                blend(&mut self.srvs.pace[srv], (took / self.usual[f].max(1e-3)).min(20.0), 0.1);
                 self.srvs.passed[srv] += 1.0;
                 if !was_late {
                     blend(&mut self.late_share, 0.0, 0.02);
                     blend(&mut self.bad_share, 0.0, 0.02);
-                    self.evidence(srv, -0.9);
+                    self.evidence(srv, -0.9); // half the sick ones' dispatches would not be answered so
                 }
-                if self.terms.settles && e.billed > 0.0 {
-                    let cust = &mut self.customers[c];
-                    if self.terms.plans[cust.plan].rate > 0.0 {
-                        cust.quota.owed += e.billed - units;
-                        cust.run -= e.billed - units;
-                    }
+                let cust = &mut self.customers[c];
+                if self.terms.settles && e.billed > 0.0 && self.terms.plans[cust.plan].rate > 0.0 {
+                    cust.quota.owed += e.billed - units;
+                    cust.run -= e.billed - units;
                 }
             }
             Outcome::Full => {
@@ -727,12 +509,11 @@
                 self.srvs.squeeze[srv] = (self.srvs.squeeze[srv] * 0.7).max(0.1);
             }
             Outcome::Cancelled | Outcome::NotSent => {}
+            // what was sent before a process started anew says nothing of the new one
+            _ if self.srvs.born[srv].is_some_and(|b| sent <= b) => {}
             _ => {
-                // what was sent before its process started anew says nothing of the new one
-                if self.srvs.born[srv].is_none_or(|b| sent > b) {
-                    blend(&mut self.bad_share, 1.0, 0.02);
-                    self.evidence(srv, (0.6 / self.bad_share.clamp(0.02, 0.6)).ln());
-                }
+                blend(&mut self.bad_share, 1.0, 0.02);
+                self.evidence(srv, (0.6 / self.bad_share.clamp(0.02, 0.1)).ln());
             }
         }
         if e.closed || over {
@@ -744,83 +525,64 @@
 
     /// Gives a req its final answer: a denial where the rules allow one, else an abort.
     fn end(&mut self, slot: usize, taken: bool) {
-        let Some(r) = self.reqs.at_mut(slot) else { return };
-        if r.end.is_some() || r.stage == Stage::Over {
+        let Some(r) = self.reqs.at_mut(slot).filter(|r| r.end.is_none() && r.stage != Stage::Over) else {
             return;
-        }
-        let f = &self.terms.frontends[r.frontend];
-        let ran = r.tries.iter().any(|t| t.ran) || r.want.len() > r.tries.len();
-        let deny = match f.effect {
-            Effect::Replayable => true,
-            Effect::NonReplayable => !ran,
-            Effect::Uniqued => !ran || f.group == Group::All,
         };
-        let (c, units, charged) = (r.customer, r.units, r.charged);
-        let waits = matches!(r.stage, Stage::Charging | Stage::Waiting);
-        let p = &self.terms.plans[self.customers[c].plan];
-        let mut hint = Span::ZERO;
-        if self.terms.may_hint {
-            let cust = &self.customers[c];
-            let short = if p.rate > 0.0 { (units - cust.run).max(0.0) / p.rate } else { 0.0 };
-            hint = Span::from_secs(short.max(0.05)).min(self.terms.longest_hint);
-        }
+        let f = &self.terms.frontends[r.frontend];
+        let harmless = f.effect == Effect::Uniqued && f.group == Group::All;
+        let deny = f.effect == Effect::Replayable || harmless || !r.tries.iter().any(|t| t.ran);
+        let cust = &self.customers[r.customer];
+        let rate = self.terms.plans[cust.plan].rate;
+        let short = if rate > 0.0 { (r.units - cust.run).max(0.0) / rate } else { 0.0 };
+        // the hint: when the store will hold its units, or a moment for a lease or a place to become free
+        let hint = Span::from_secs(short.max(0.05)).min(self.terms.longest_hint);
+        let hint = if self.terms.may_hint { hint } else { Span::ZERO };
         r.end = Some(if deny { End::Deny(hint) } else { End::Abort });
-        if taken && waits {
-            // denied before it was sent: its adds come back
-            let cust = &mut self.customers[c];
-            cust.held -= 1.0;
-            if charged {
-                cust.quota.owed -= units;
-                cust.run += units;
-                cust.quota.urgent = true;
-            }
-            self.mark(c);
-        }
         self.touched.push(slot);
+        if taken {
+            self.take_back(slot, true);
+        }
+    }
+
+    /// What was charged for a req that was never sent comes back, at once where others may lack it.
+    fn take_back(&mut self, slot: usize, urgent: bool) {
+        let Some(r) = self.reqs.at(slot) else { return };
+        if !matches!(r.stage, Stage::Charging | Stage::Waiting) {
+            return;
+        }
+        let cust = &mut self.customers[r.customer];
+        cust.held -= 1.0;
+        cust.quota.owed -= r.units;
+        cust.run += r.units;
+        cust.quota.urgent |= urgent;
+        self.dirty.push(r.customer);
     }
 
     /// The req is over for the client: what still runs is cancelled, and forgotten with its last outcome.
     fn close(&mut self, id: u64) {
         let Some(slot) = self.reqs.find(id) else { return };
-        let Some(r) = self.reqs.at_mut(slot) else { return };
-        if matches!(r.stage, Stage::Charging | Stage::Waiting) && r.end.is_none() {
-            let (c, units, charged) = (r.customer, r.units, r.charged);
-            let cust = &mut self.customers[c];
-            cust.held -= 1.0;
-            if charged {
-                (cust.quota.owed, cust.run) = (cust.quota.owed - units, cust.run + units);
-            }
-            self.mark(c);
+        if self.reqs.at(slot).is_some_and(|r| r.end.is_none()) {
+            self.take_back(slot, false);
         }
-        let r = self.reqs.at_mut(slot).expect("looked up above");
+        let Some(r) = self.reqs.at_mut(slot) else { return };
         r.stage = Stage::Over;
         r.tries.iter_mut().filter(|t| t.running).for_each(|t| t.drop = true);
-        if r.tries.iter().any(|t| t.running) {
-            self.touched.push(slot);
-        } else {
-            self.reqs.drop(id);
-        }
+        self.touched.push(slot);
     }
 
     // ---- quotas ----
 
-    fn mark(&mut self, c: usize) {
-        if !self.customers[c].dirty {
-            self.customers[c].dirty = true;
-            self.dirty.push(c);
-        }
-    }
-
     /// The customer's store as far as this gateway knows: the last totals, what it filled, what went out here.
     fn room(&mut self, c: usize) -> f64 {
         let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
-        cust.run = (cust.run + p.rate * (self.now - cust.run_at).secs()).min(p.burst);
+        cust.run = (cust.run + p.rate * self.now.since(cust.run_at)).min(p.burst);
         cust.run_at = self.now;
         cust.run
     }
 
-    /// This gateway's recent part of the customer's use; an even split where little was seen.
+    /// This gateway's recent part of the customer's use; an even split where little was seen. It replaces the
+    /// even split of DESIGN while the counter is silent, else customers gathered on few gateways starve.
     fn share(&self, c: usize) -> f64 {
         let cust = &self.customers[c];
         let p = &self.terms.plans[cust.plan];
@@ -828,23 +590,12 @@
         ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
     }
 
-    /// Counter silent: takes the units for itself and for what the others are taken to use meanwhile; true if
-    /// there is no room. Replaces the even split by the recent spread, else gathered customers starve.
-    fn run_take(&mut self, c: usize, units: f64) -> bool {
-        let share = self.share(c);
-        if self.room(c) < units {
-            return true;
-        }
-        self.customers[c].run -= units / share;
-        false
-    }
-
+    /// The last total leaves no room: it is fresh enough that no lease elsewhere will have come back.
     fn lease_full(&self, c: usize) -> bool {
-        let cust = &self.customers[c];
+        let (cust, l) = (&self.customers[c], &self.customers[c].lease);
         let cap = self.terms.plans[cust.plan].at_once as f64;
-        let fresh = cust.lease.seen.is_some_and(|s| (self.now - s).secs() < 0.03);
-        // what is held here beyond the answered total is on its way, so the cap can't have room
-        fresh && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap
+        let fresh = l.seen.is_some_and(|s| self.now.since(s) < 0.03);
+        fresh && l.total + l.flying >= cap || cust.held >= cap
     }
 
     /// Counter silent: this gateway's part of the cap, rounded to the nearer side, one at least.
@@ -853,41 +604,33 @@
         self.customers[c].held + 1.0 <= (cap * self.share(c)).round().max(1.0)
     }
 
-    fn name(&self, c: usize, lease: bool, epoch: u64) -> u64 {
-        (self.door.id(c) << 24) | ((epoch & 0x7f_ffff) << 1) | lease as u64
-    }
-
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
+        /// Unanswered calls in a row that count as silence; one or two happen on a crowded counter.
+        const SILENT_AFTER: u32 = 3;
         let Some(call) = self.calls.get_mut(&name).and_then(VecDeque::pop_front) else { return };
         if self.calls.get(&name).is_some_and(VecDeque::is_empty) {
             self.calls.remove(&name);
         }
-        let c = call.customer;
-        let answered = how == Outcome::Passed;
-        if answered {
-            (self.misses, self.silent) = (0, false);
-        } else {
-            self.misses += 1;
-            if self.misses >= SILENT_AFTER && !self.silent {
-                (self.silent, self.trial_at) = (true, self.now + TRIAL);
-            }
+        let (c, answered) = (call.customer, how == Outcome::Passed);
+        // A crowded counter gets fewer calls: the more go unanswered, the emptier a store has to be before its
+        // customer's reqs are judged there. One unanswered call weighs as much as 25 answered ones.
+        self.crowd = (self.crowd + if answered { -0.002 } else { 0.05 }).clamp(0.0, 1.0);
+        self.misses = if answered { 0 } else { self.misses + 1 };
+        if !answered && self.misses == SILENT_AFTER {
+            self.trial_at = self.now + TRIAL;
         }
-        let added = how == Outcome::Passed || how == Outcome::TimedOut;
-        let over = if call.lease {
+        self.silent = self.misses >= SILENT_AFTER;
+        let added = answered || how == Outcome::TimedOut;
+        let mut over = if call.lease {
             self.lease_counted(&call, total, answered, added)
         } else {
             self.quota_counted(&call, total, answered, added)
         };
-        let mut over = over;
         for &(slot, id) in call.joins.iter().rev() {
-            let Some(r) = self.reqs.at_mut(slot).filter(|r| r.id == id && r.stage == Stage::Charging) else {
-                continue;
-            };
+            let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
+            let Some(r) = self.reqs.at_mut(slot).filter(judged) else { continue };
             r.verdicts -= 1;
             let (units, left) = (r.units, r.verdicts);
-            if r.end.is_some() {
-                continue;
-            }
             let fits = if answered {
                 let fits = over <= 1e-3;
                 over -= if fits {
@@ -904,10 +647,9 @@
                 self.customers[c].held += 1.0;
                 fits
             } else {
-                // the own use is already in `run`; what the others use meanwhile is added to it
-                let extra = units / self.share(c) - units;
+                // the own use is already in `run`; what the others use meanwhile goes off too
                 let fits = self.room(c) >= 0.0;
-                self.customers[c].run -= if fits { extra } else { 0.0 };
+                self.customers[c].run -= if fits { units / self.share(c) - units } else { 0.0 };
                 fits
             };
             if !fits {
@@ -923,66 +665,53 @@
     fn quota_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
         let (now, largest) = (self.now, self.terms.largest);
         let cust = &mut self.customers[call.customer];
-        let p = &self.terms.plans[cust.plan];
-        let q = &mut cust.quota;
+        let (p, q) = (&self.terms.plans[cust.plan], &mut cust.quota);
         q.flying -= call.amount;
         if !answered {
-            if added {
-                q.doubt += call.amount;
-            } else {
-                q.owed += call.amount;
-            }
+            *(if added { &mut q.doubt } else { &mut q.owed }) += call.amount;
             return 0.0;
         }
         if call.epoch < q.epoch {
             return (-cust.level).max(0.0);
         }
-        let new = call.epoch > q.epoch || q.seen.is_none();
-        let mut delta = if new { total } else { total - q.total };
+        let mut delta = if call.epoch > q.epoch || q.seen.is_none() { total } else { total - q.total };
         if delta - call.amount < -(largest * 2.0).max(0.5 * q.total) {
             delta = total; // the counter came back empty: own memory of the store still counts
         }
         let others = delta - call.amount;
-        if q.doubt > 0.0 && others < 0.5 * q.doubt {
-            q.owed += q.doubt; // an unanswered add that never got there
-        }
+        // an unanswered add that never got there is made again
+        q.owed += if others < 0.5 * q.doubt { q.doubt } else { 0.0 };
         q.doubt = 0.0;
-        let since = if q.seen.is_none() { now.secs() % WINDOW } else { (now - cust.level_at).secs() };
+        let since = if q.seen.is_none() { now.secs() % WINDOW } else { now.since(cust.level_at) };
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(now));
         let before = cust.level + p.rate * since - (delta - call.units);
         (cust.level, cust.level_at) = (before.min(p.burst) - call.units, now);
         (cust.run, cust.run_at) = (cust.level - q.flying - q.owed, now);
-        let keep = (-since.min(WINDOW) / SHARE_MEMORY).exp();
+        let keep = (-since / SHARE_MEMORY).exp();
         cust.own = cust.own * keep + call.amount.max(0.0);
         cust.all = cust.all * keep + call.amount.max(0.0) + others.max(0.0);
         (-cust.level).max(0.0)
     }
 
+    /// Reads a total of leases; returns by how many it passes the cap.
     fn lease_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
-        let now = self.now;
         let cust = &mut self.customers[call.customer];
-        let p = &self.terms.plans[cust.plan];
-        let l = &mut cust.lease;
-        if call.epoch == l.epoch {
-            l.flying -= call.amount;
-        }
-        if !answered {
-            if !added && call.epoch == l.epoch {
-                l.put -= call.amount;
-            } else if !added && call.epoch == l.epoch + 1 {
-                l.put_next -= call.amount;
-            }
+        let (p, l) = (&self.terms.plans[cust.plan], &mut cust.lease);
+        if call.epoch != l.epoch {
+            l.put_next -= if !added && call.epoch > l.epoch { call.amount } else { 0.0 };
             return 0.0;
         }
-        if call.epoch != l.epoch {
+        l.flying -= call.amount;
+        if !answered {
+            l.put -= if added { 0.0 } else { call.amount };
             return 0.0;
         }
         if p.rate <= 0.0 {
-            let keep = l.seen.map_or(0.0, |s| (-(now - s).secs() / SHARE_MEMORY).exp());
+            let keep = l.seen.map_or(0.0, |s| (-self.now.since(s) / SHARE_MEMORY).exp());
             cust.own = cust.own * keep + l.put.max(0.0) * (1.0 - keep);
             cust.all = cust.all * keep + total.max(l.put).max(0.0) * (1.0 - keep);
         }
-        (l.total, l.seen) = (total, Some(now));
+        (l.total, l.seen) = (total, Some(self.now));
         (total - p.at_once as f64).max(0.0)
     }
 
@@ -997,25 +726,15 @@
             let Some(f) = self.reqs.at(slot).map(|r| r.frontend) else { continue };
             let after = self.overdue_after(f);
             // where a second copy may not be out beside the first, a time-out has to free the req
-            let front = &self.terms.frontends[f];
-            let free = !self.terms.may_duplicate && front.effect != Effect::NonReplayable;
-            let limit = if free { Span::from_secs(1.5 * after) } else { Span::ZERO };
+            let frees = !self.terms.may_duplicate && self.terms.frontends[f].effect != Effect::NonReplayable;
+            let limit = if frees { Span::from_secs(1.5 * after) } else { Span::ZERO };
             let Some(r) = self.reqs.at_mut(slot) else { continue };
-            while r.tries.len() < r.want.len() {
-                let srv = r.want[r.tries.len()];
-                r.tries.push(Try {
-                    srv,
-                    sent: self.now,
-                    running: true,
-                    ran: true,
-                    overdue: false,
-                    drop: false,
-                });
-                acts.push(Action::Dispatch { id: r.id, srv: self.srvs.door.id(srv) as u32, limit });
-                let due = self.now + Span::from_secs(after);
-                self.wakes.push(Reverse((due, slot, r.id)));
+            for t in r.tries.iter_mut().filter(|t| !t.told) {
+                t.told = true;
+                acts.push(Action::Dispatch { id: r.id, srv: self.srvs.door.id(t.srv) as u32, limit });
+                self.wakes.push(Reverse((self.now.later(after), slot, r.id)));
             }
-            if let (Some(end), true) = (r.end, r.stage != Stage::Over) {
+            if let Some(end) = r.end.filter(|_| r.stage != Stage::Over) {
                 acts.push(match end {
                     End::Deny(back_off) => Action::Deny { id: r.id, back_off },
                     End::Abort => Action::Abort { id: r.id },
@@ -1024,8 +743,7 @@
                 r.tries.iter_mut().filter(|t| t.running).for_each(|t| t.drop = true);
             }
             for (nth, t) in r.tries.iter_mut().enumerate() {
-                if t.running && t.drop && self.terms.may_cancel {
-                    t.drop = false;
+                if std::mem::take(&mut t.drop) && t.running && self.terms.may_cancel {
                     acts.push(Action::Cancel { id: r.id, nth: nth as u16 });
                 }
             }
@@ -1035,70 +753,80 @@
             }
         }
         for c in std::mem::take(&mut self.dirty) {
-            self.customers[c].dirty = false;
             self.put_counts(c, acts);
         }
-        let roll = ((self.now.secs() / ROLL).floor() + 1.0) * ROLL - LEAD + 0.001;
-        let roll = if roll > self.now.secs() { roll } else { roll + LEAD };
-        let mut next = self.second_at.min(Point::from_secs(roll));
-        if let Some(Reverse(w)) = self.wakes.peek() {
-            next = next.min(w.0);
-        }
+        let phase = self.now.secs() % ROLL;
+        let ahead = if phase < ROLL - LEAD { ROLL - LEAD - phase } else { ROLL - phase };
+        let wake = self.wakes.peek().map_or(self.second_at, |Reverse(w)| w.0);
+        let next =
+            wake.min(self.second_at).min(self.now.later(ahead + 0.001)).max(self.now + Span::millis(1));
         if self.armed.is_none_or(|a| next < a) {
             self.armed = Some(next);
-            acts.push(Action::Timer { after: (next - self.now).max(Span::millis(1)), token: 0 });
+            acts.push(Action::Timer { after: next - self.now, token: 0 });
         }
     }
 
+    /// A customer's adds: only names that its plan needs; corrections go with the next add where nobody waits
+    /// for them. Held leases go to the next name ahead of it; they stay in the old one, which nobody asks again.
     fn put_counts(&mut self, c: usize, acts: &mut Vec<Action>) {
         let now = self.now.secs();
-        let p = &self.terms.plans[self.customers[c].plan];
-        let (rated, capped) = (p.rate > 0.0, p.at_once > 0);
-        let mut calls = Vec::new();
-        let cust = &self.customers[c];
+        let cust = &mut self.customers[c];
+        let p = &self.terms.plans[cust.plan];
         if self.silent && cust.quota.joins.is_empty() && cust.lease.joins.is_empty() {
             if !self.terms.counter || self.now < self.trial_at {
                 return;
             }
             self.trial_at = self.now + TRIAL;
         }
-        let cust = &mut self.customers[c];
-        if rated && (!cust.quota.joins.is_empty() || cust.quota.urgent || self.silent) {
-            let epoch = (now / WINDOW) as u64;
-            let joins: Vec<usize> = std::mem::take(&mut cust.quota.joins);
-            let amount = std::mem::take(&mut cust.quota.owed);
-            cust.quota.urgent = false;
-            cust.quota.flying += amount;
-            calls.push((false, epoch, amount, joins, Span::from_secs(WINDOW * 2.0)));
+        let (q, l) = (&mut cust.quota, &mut cust.lease);
+        let mut calls: Vec<(bool, u64, f64, Vec<usize>)> = Vec::new();
+        // what was let in without a call is told within a second
+        let overdue = q.owed > 0.0 && self.now.since(q.called) > 1.0;
+        if p.rate > 0.0 && (!q.joins.is_empty() || q.urgent || self.silent || overdue) {
+            let amount = std::mem::take(&mut q.owed);
+            (q.urgent, q.called, q.flying) = (false, self.now, q.flying + amount);
+            calls.push((false, (now / WINDOW) as u64, amount, std::mem::take(&mut q.joins)));
         }
-        if capped {
+        if p.at_once > 0 {
             let epoch = (now / ROLL) as u64;
-            let l = &mut cust.lease;
             if l.epoch != epoch {
                 l.put = if l.epoch + 1 == epoch { l.put_next } else { 0.0 };
-                (l.put_next, l.flying, l.total, l.seen, l.epoch) = (0.0, 0.0, l.put, None, epoch);
+                (l.put_next, l.flying, l.total, l.epoch) = (0.0, 0.0, l.put, epoch);
             }
-            let joins = std::mem::take(&mut l.joins);
-            let diff = cust.held - l.put;
-            if diff != 0.0 || !joins.is_empty() {
-                l.put += diff;
-                l.flying += diff;
-                calls.push((true, epoch, diff, joins, Span::from_secs(ROLL * 2.0)));
+            let (diff, ahead) = (cust.held - l.put, cust.held - l.put_next);
+            let lazy =
+                l.total.max(cust.held) < self.crowd * p.at_once as f64 && self.now.since(l.called) < 0.5;
+            if !l.joins.is_empty() || diff != 0.0 && !lazy {
+                (l.put, l.flying, l.called) = (l.put + diff, l.flying + diff, self.now);
+                calls.push((true, epoch, diff, std::mem::take(&mut l.joins)));
             }
-            let ahead = cust.held - l.put_next;
             if now % ROLL > ROLL - LEAD && ahead != 0.0 {
                 l.put_next += ahead;
-                calls.push((true, epoch + 1, ahead, Vec::new(), Span::from_secs(ROLL * 2.0)));
+                calls.push((true, epoch + 1, ahead, Vec::new()));
             }
         }
-        for (lease, epoch, amount, joins, life) in calls {
-            let name = self.name(c, lease, epoch);
-            let ids = |&s: &usize| self.reqs.at(s).map(|r| (s, r.id));
-            let joins: Vec<(usize, u64)> = joins.iter().filter_map(ids).collect();
-            let units = joins.iter().filter_map(|&(s, _)| self.reqs.at(s)).map(|r| r.units).sum();
+        for (lease, epoch, amount, joins) in calls {
+            let name = (self.door.id(c) << 24) | ((epoch & 0x7f_ffff) << 1) | lease as u64;
+            let live = joins.iter().filter_map(|&s| self.reqs.at(s).map(|r| (s, r.id, r.units)));
+            let (units, joins) = (live.clone().map(|j| j.2).sum(), live.map(|j| (j.0, j.1)).collect());
+            let life = Span::from_secs(2.0 * if lease { ROLL } else { WINDOW });
             acts.push(Action::Count { name, amount, life });
             let call = Call { customer: c, lease, epoch, amount, units, joins };
             self.calls.entry(name).or_default().push_back(call);
         }
     }
 }
+
+/// A quota window: as long as a name's life allows (60 s, twice this), so that rolling, which forgets what
+/// others used last, is rare.
+const WINDOW: f64 = 30.0;
+/// DESIGN: in-flight names roll every two seconds; totals older than that are stale.
+const ROLL: f64 = 2.0;
+/// Leases go to the next name this long ahead: several counter round trips.
+const LEAD: f64 = 0.1;
+/// DESIGN: the pool starts at a set figure per ready srv: some cores' worth of work and a short queue.
+const START_PER_SRV: f64 = 4.0;
+/// While silent one call in this time tries the counter: soon enough against two seconds of staleness.
+const TRIAL: Span = Span::millis(200);
+/// Own and total use are remembered about this long: the spread of a customer moves within some seconds.
+const SHARE_MEMORY: f64 = 8.0;
--- a/src/link.rs
+++ b/src/link.rs
@@ -39,7 +39,7 @@
 }
 
 /// What holds for this gateway from its start on.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub seed: u64,
     pub gateways: usize,
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -1,6 +1,7 @@
-//! Plain state containers: an id table for dense indices, and a slab of live reqs.
+//! Plain state containers of the decision module.
 
-use std::collections::HashMap;
+use crate::time::{Point, Span};
+use std::collections::{HashMap, VecDeque};
 
 /// Ids from outside to small dense indices, in order of first sight.
 #[derive(Debug, Default)]
@@ -68,3 +69,145 @@
         }
     }
 }
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum Stage {
+    #[default]
+    Charging,
+    Waiting,
+    Out,
+    Over,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum End {
+    Deny(Span),
+    Abort,
+}
+
+/// A dispatch of a req, wanted or present.
+#[derive(Debug)]
+pub struct Try {
+    pub srv: usize,
+    pub sent: Point,
+    pub told: bool,
+    pub running: bool,
+    pub ran: bool,
+    pub overdue: bool,
+    pub drop: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Req {
+    pub id: u64,
+    pub frontend: usize,
+    pub customer: usize,
+    pub units: f64,
+    pub ends: Point,
+    pub target: Point,
+    pub stage: Stage,
+    /// Counter answers still owed.
+    pub verdicts: u8,
+    pub begun: bool,
+    pub tries: Vec<Try>,
+    pub end: Option<End>,
+}
+
+/// A name on the counter as seen from here. Amounts not in an answered total are flying, owed or in doubt.
+#[derive(Debug, Default)]
+pub struct Account {
+    pub epoch: u64,
+    pub total: f64,
+    pub seen: Option<Point>,
+    pub called: Point,
+    pub put: f64,
+    pub put_next: f64,
+    pub flying: f64,
+    pub owed: f64,
+    pub doubt: f64,
+    pub joins: Vec<usize>,
+    pub urgent: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Customer {
+    pub plan: usize,
+    pub spread: f64,
+    pub quota: Account,
+    pub lease: Account,
+    /// The store as the last total leaves it, and the same with what went out here since.
+    pub level: f64,
+    pub level_at: Point,
+    pub run: f64,
+    pub run_at: Point,
+    pub own: f64,
+    pub all: f64,
+    pub held: f64,
+    pub ceiling: f64,
+    pub ceiling_at: Point,
+    pub queue: VecDeque<usize>,
+    pub deficit: f64,
+}
+
+#[derive(Debug)]
+pub struct Call {
+    pub customer: usize,
+    pub lease: bool,
+    pub epoch: u64,
+    pub amount: f64,
+    pub units: f64,
+    pub joins: Vec<(usize, u64)>,
+}
+
+/// Figures about srvs, in parallel arrays under a dense index.
+#[derive(Debug, Default)]
+pub struct Srvs {
+    pub door: Door,
+    pub zone: Vec<u16>,
+    pub cell: Vec<u16>,
+    pub ready: Vec<bool>,
+    pub born: Vec<Option<Point>>,
+    pub out: Vec<u32>,
+    /// Time taken over the frontend's usual, smoothed.
+    pub pace: Vec<f64>,
+    /// Log likelihood ratio of sick to sound.
+    pub evidence: Vec<f64>,
+    pub distrust: Vec<f64>,
+    /// When distrust was last brought up to date.
+    pub faded: Vec<Point>,
+    /// The part of the credits left after answers that it is full.
+    pub squeeze: Vec<f64>,
+    /// Answers a second, smoothed.
+    pub passed: Vec<f64>,
+    /// Sends that it may still get while cold.
+    pub tokens: Vec<f64>,
+}
+
+impl Srvs {
+    pub fn enter(&mut self, id: u32) -> (usize, bool) {
+        let (i, new) = self.door.enter(id as u64);
+        if new {
+            self.zone.push(0);
+            self.cell.push(0);
+            self.ready.push(false);
+            self.born.push(None);
+            self.out.push(0);
+            self.faded.push(Point::default());
+            for figures in [
+                &mut self.pace,
+                &mut self.evidence,
+                &mut self.distrust,
+                &mut self.squeeze,
+                &mut self.passed,
+                &mut self.tokens,
+            ] {
+                figures.push(0.0);
+            }
+        }
+        (i, new)
+    }
+    /// The indices of the srvs that take new work.
+    pub fn open(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.ready.len()).filter(|&i| self.ready[i])
+    }
+}
--- a/src/time.rs
+++ b/src/time.rs
@@ -15,6 +15,14 @@
     pub fn secs(self) -> f64 {
         self.0 as f64 / 1e6
     }
+    /// Seconds gone by since an earlier point.
+    pub fn since(self, earlier: Point) -> f64 {
+        (self - earlier).secs()
+    }
+    /// The point so many seconds later.
+    pub fn later(self, secs: f64) -> Point {
+        self + Span::from_secs(secs)
+    }
 }
 
 impl Span {
