--- a/src/control.rs
+++ b/src/control.rs
@@ -133,8 +133,9 @@
         } else if seen >= 10 {
             self.limit += if self.cut { 1.0 } else { ready / 4.0 };
         }
-        // never under one a srv, or nothing would be learnt; never so high that a cut would not be felt
-        self.limit = self.limit.clamp(ready, 4.0 * START_PER_SRV * ready);
+        // never so low that nothing is learnt; never so high that a cut would not be felt
+        let start = self.start();
+        self.limit = self.limit.clamp(0.15 * start, 4.0 * start);
         self.full = 0;
         for i in 0..self.srvs.ready.len() {
             let rate = self.cold_rate(i);
@@ -167,7 +168,13 @@
             }
         }
         let ready = s.open().count() as f64;
-        self.limit = if before == 0.0 { START_PER_SRV * ready } else { self.limit * ready / before };
+        self.limit = if before == 0.0 { self.start() } else { self.limit * ready / before };
+    }
+
+    /// DESIGN: the pool starts at a set figure per ready srv. All gateways together send there, so the figure
+    /// is divided by them: a few cores' worth of work and a short queue.
+    fn start(&self) -> f64 {
+        6.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
 
     /// What a srv can do now as a share of its full capacity, going by the slowest warming that the rules allow.
@@ -215,7 +222,7 @@
     /// Each srv has credits by its pace, trust, warmth and recent fullness; a send spends one, an answer earns
     /// it back. The send goes where the largest part is left; home zone first where it is nearly equal.
     fn pick(&mut self, slot: usize) -> Option<usize> {
-        let base = (1.5 * self.limit / self.srvs.open().count().max(1) as f64).max(2.0);
+        let base = 1.5 * self.limit / self.srvs.open().count().max(1) as f64;
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.distrust(i), self.warmth(i));
@@ -508,7 +515,12 @@
                 self.full += 1;
                 self.srvs.squeeze[srv] = (self.srvs.squeeze[srv] * 0.7).max(0.1);
             }
-            Outcome::Cancelled | Outcome::NotSent => {}
+            Outcome::Cancelled | Outcome::NotSent => {
+                // not answered in time, and nobody to blame: the pool hears of it
+                if was_late && self.distrust(srv) < 0.3 && self.srvs.pace[srv] < 2.5 {
+                    self.samples[f].push(e.took.secs());
+                }
+            }
             // what was sent before a process started anew says nothing of the new one
             _ if self.srvs.born[srv].is_some_and(|b| sent <= b) => {}
             _ => {
@@ -824,8 +836,6 @@
 const ROLL: f64 = 2.0;
 /// Leases go to the next name this long ahead: several counter round trips.
 const LEAD: f64 = 0.1;
-/// DESIGN: the pool starts at a set figure per ready srv: some cores' worth of work and a short queue.
-const START_PER_SRV: f64 = 4.0;
 /// While silent one call in this time tries the counter: soon enough against two seconds of staleness.
 const TRIAL: Span = Span::millis(200);
 /// Own and total use are remembered about this long: the spread of a customer moves within some seconds.
