--- a/src/control.rs
+++ b/src/control.rs
@@ -174,7 +174,7 @@
     /// DESIGN: the pool starts at a set figure per ready srv. All gateways together send there, so the figure
     /// is divided by them: a few cores' worth of work and a short queue.
     fn start(&self) -> f64 {
-        6.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
+        8.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
 
     /// What a srv can do now as a share of its full capacity, going by the slowest warming that the rules allow.
@@ -231,7 +231,8 @@
             }
             let s = &self.srvs;
             let credit = base * s.squeeze[i] * warm * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
-            if s.out[i] as f64 >= credit.max(if distrust > 0.5 { 0.0 } else { 1.0 }) {
+            // whole credits: a convicted srv gets nothing until half its distrust has faded, then one as a trial
+            if s.out[i] as f64 + 1.0 > credit.max(if distrust > 0.5 { 0.0 } else { 1.0 }) {
                 continue;
             }
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
