--- a/src/control.rs
+++ b/src/control.rs
@@ -3,45 +3,11 @@
 //! out, held on the counter, timed); `settle` alone compares it with the present one and emits the difference.
 
 use crate::link::*;
+pub use crate::tables::Control;
 use crate::tables::*;
 use crate::time::{Point, Span};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
-
-#[derive(Default)]
-pub struct Control {
-    terms: Terms,
-    rng: fastrand::Rng,
-    now: Point,
-    began: Point,
-    reqs: Slab<Req>,
-    door: Door,
-    customers: Vec<Customer>,
-    srvs: Srvs,
-    calls: HashMap<u64, VecDeque<Call>>, // by name, in the order of the calls
-    misses: u32,
-    silent: bool,
-    crowd: f64,
-    trial_at: Point,
-    limit: f64,
-    cut: bool,
-    out: u32,
-    waiting: usize,
-    ring: VecDeque<usize>, // customers with waiters
-    usual: Vec<f64>,       // by frontend: time taken, smoothed
-    tail: Vec<f64>,        // by frontend: its 95th percentile, smoothed
-    samples: Vec<Vec<f64>>,
-    full: u32,
-    late_share: f64,
-    bad_share: f64,
-    copies: f64,
-    second_at: Point,
-    wakes: BinaryHeap<Reverse<(Point, usize, u64)>>,
-    armed: Option<Point>,
-    touched: Vec<usize>,
-    dirty: Vec<usize>,
-    asks: bool,
-}
+use std::collections::VecDeque;
 
 fn blend(old: &mut f64, new: f64, share: f64) {
     *old += (new - *old) * share;
@@ -72,11 +38,7 @@
             match e {
                 Event::List { kind, rows } => self.list(kind, &rows),
                 Event::Req(r) => self.arrive(r),
-                Event::Begun { id, .. } => {
-                    if let Some(r) = self.reqs.find(id).and_then(|i| self.reqs.at_mut(i)) {
-                        r.begun = true;
-                    }
-                }
+                Event::Begun { id, .. } => self.reqs.of(id).into_iter().for_each(|r| r.begun = true),
                 Event::Ended(e, _) => self.ended(e),
                 Event::Left { id } => self.close(id),
                 Event::Counted { name, total, how } => self.counted(name, total, how),
@@ -93,20 +55,16 @@
                 .filter(|&c| self.customers[c].held > 0.0)
                 .for_each(|c| self.dirty.push(c));
         }
-        while self.wakes.peek().is_some_and(|Reverse(w)| w.0 <= now) {
-            let Some(Reverse((_, slot, id))) = self.wakes.pop() else { break };
-            if self.reqs.at(slot).is_some_and(|r| r.id == id) {
-                self.review(slot);
-            }
+        while let Some(&Reverse((_, slot))) = self.wakes.peek().filter(|w| w.0 .0 <= now) {
+            self.wakes.pop();
+            self.review(slot); // of whatever req the slot has now: a review too many does no harm
         }
         self.pump();
         self.settle(acts);
     }
 
     fn wake(&mut self, at: Point, slot: usize) {
-        if let Some(r) = self.reqs.at(slot) {
-            self.wakes.push(Reverse((at, slot, r.id)));
-        }
+        self.wakes.push(Reverse((at, slot)));
     }
 
     // ---- the pool and its srvs ----
@@ -291,34 +249,23 @@
         let slack = self.terms.frontends[frontend].target.secs() - self.typical(frontend);
         let hopeless = self.waiting as f64 > (answers * slack).max(self.limit);
         let no_room = rated && self.room(c) < n.units || capped && self.lease_full(c);
-        if hopeless || no_room || !self.ceiling(c, n.units) {
-            return self.end(slot, false);
-        }
         let cust = &self.customers[c];
+        let no_part = self.silent && capped && !self.lease_alone(c, cust.held + 1.0);
         let rated_alone = self.silent || cust.run >= (1.0 - self.crowd) * p.burst + n.units;
         let fresh = cust.lease.seen.is_some_and(|s| self.now.since(s) < ROLL);
         let capped_alone =
             self.silent || fresh && cust.lease.total.max(cust.held) < self.crowd * p.at_once as f64;
-        if self.silent && capped && !self.lease_alone(c) {
+        if hopeless || no_room || no_part || !self.ceiling(c, n.units) {
             return self.end(slot, false);
         }
         let share = if rated && rated_alone { self.share(c) } else { 1.0 };
         let cust = &mut self.customers[c];
         cust.held += 1.0;
-        let mut verdicts = 0;
-        if rated {
-            cust.run -= n.units / share;
-            cust.quota.owed += n.units;
-            if !rated_alone {
-                cust.quota.joins.push(slot);
-                verdicts += 1;
-            }
-        }
-        if capped && !capped_alone {
-            cust.lease.joins.push(slot);
-            verdicts += 1;
-        }
+        (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + n.units);
+        cust.quota.joins.extend(Some(slot).filter(|_| rated && !rated_alone));
+        cust.lease.joins.extend(Some(slot).filter(|_| capped && !capped_alone));
         self.dirty.push(c);
+        let verdicts = (rated && !rated_alone) as u8 + (capped && !capped_alone) as u8;
         match self.reqs.at_mut(slot) {
             Some(r) if verdicts > 0 => r.verdicts = verdicts,
             _ => self.admit(slot),
@@ -401,15 +348,7 @@
             self.dirty.push(r.customer);
         }
         r.stage = Stage::Out;
-        r.tries.push(Try {
-            srv,
-            sent: self.now,
-            told: false,
-            running: true,
-            ran: true,
-            overdue: false,
-            drop: false,
-        });
+        r.tries.push(Try { srv, sent: self.now, running: true, ran: true, ..Try::default() });
         self.srvs.out[srv] += 1;
         self.out += 1;
         self.touched.push(slot);
@@ -440,14 +379,15 @@
         if self.now >= r.ends || stage == Stage::Waiting && self.now >= give_up {
             return self.end(slot, true);
         }
-        match stage {
-            Stage::Waiting => return self.wake(give_up.max(self.now + Span::millis(5)), slot),
-            Stage::Out => {}
-            _ => return,
+        if stage == Stage::Waiting {
+            self.wake(give_up.max(self.now + Span::millis(5)), slot);
+        }
+        if stage != Stage::Out {
+            return;
         }
         let after = self.overdue_after(f);
         let (mut running, mut sick, mut late) = (0, false, Vec::new());
-        for t in self.reqs.at_mut(slot).into_iter().flat_map(|r| &mut r.tries).filter(|t| t.running) {
+        for t in self.reqs.at_mut(slot).into_iter().flat_map(Req::running) {
             let gone = self.now.since(t.sent);
             if gone >= after && !t.overdue {
                 t.overdue = true;
@@ -482,7 +422,7 @@
 
     fn ended(&mut self, e: Ended) {
         let Some(slot) = self.reqs.find(e.id) else { return };
-        let Some(r) = self.reqs.at_mut(slot) else { return };
+        let Some(r) = self.reqs.of(e.id) else { return };
         let (f, c, units, over) = (r.frontend, r.customer, r.units, r.stage == Stage::Over);
         let Some(t) = r.tries.get_mut(e.nth as usize).filter(|t| t.running) else { return };
         t.running = false;
@@ -579,7 +519,7 @@
         }
         let Some(r) = self.reqs.at_mut(slot) else { return };
         r.stage = Stage::Over;
-        r.tries.iter_mut().filter(|t| t.running).for_each(|t| t.drop = true);
+        r.running().for_each(|t| t.drop = true);
         self.touched.push(slot);
     }
 
@@ -612,9 +552,9 @@
     }
 
     /// Counter silent: this gateway's part of the cap, rounded to the nearer side, one at least.
-    fn lease_alone(&self, c: usize) -> bool {
+    fn lease_alone(&self, c: usize, held: f64) -> bool {
         let cap = self.terms.plans[self.customers[c].plan].at_once as f64;
-        self.customers[c].held + 1.0 <= (cap * self.share(c)).round().max(1.0)
+        held <= (cap * self.share(c)).round().max(1.0)
     }
 
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
@@ -634,40 +574,28 @@
         }
         self.silent = self.misses >= SILENT_AFTER;
         let added = answered || how == Outcome::TimedOut;
-        let mut over = if call.lease {
-            self.lease_counted(&call, total, answered, added)
-        } else {
-            self.quota_counted(&call, total, answered, added)
-        };
+        let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
+        let mut over = reading(self, &call, total, answered, added);
         for &(slot, id) in call.joins.iter().rev() {
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
             let Some(r) = self.reqs.at_mut(slot).filter(judged) else { continue };
             r.verdicts -= 1;
             let (units, left) = (r.units, r.verdicts);
-            let fits = if answered {
-                let fits = over <= 1e-3;
-                over -= if fits {
-                    0.0
-                } else if call.lease {
-                    1.0
-                } else {
-                    units
-                };
-                fits
-            } else if call.lease {
-                self.customers[c].held -= 1.0;
-                let fits = self.lease_alone(c);
-                self.customers[c].held += 1.0;
-                fits
-            } else {
-                // the own use is already in `run`; what the others use meanwhile goes off too
-                let fits = self.room(c) >= 0.0;
-                self.customers[c].run -= if fits { units / self.share(c) - units } else { 0.0 };
-                fits
+            let fits = match (answered, call.lease) {
+                (true, _) => over <= 1e-3,
+                (_, true) => self.lease_alone(c, self.customers[c].held),
+                _ => self.room(c) >= 0.0,
             };
             if !fits {
+                over -= if call.lease { 1.0 } else { units };
                 self.end(slot, true);
-            } else if left == 0 {
+                continue;
+            }
+            if !answered && !call.lease {
+                // the own use is off `run` already; what the others use meanwhile goes off too
+                self.customers[c].run -= units / self.share(c) - units;
+            }
+            if left == 0 {
                 self.admit(slot);
             }
         }
@@ -745,7 +673,7 @@
             for t in r.tries.iter_mut().filter(|t| !t.told) {
                 t.told = true;
                 acts.push(Action::Dispatch { id: r.id, srv: self.srvs.door.id(t.srv) as u32, limit });
-                self.wakes.push(Reverse((self.now.later(after), slot, r.id)));
+                self.wakes.push(Reverse((self.now.later(after), slot)));
             }
             if let Some(end) = r.end.filter(|_| r.stage != Stage::Over) {
                 acts.push(match end {
@@ -753,7 +681,7 @@
                     End::Abort => Action::Abort { id: r.id },
                 });
                 r.stage = Stage::Over;
-                r.tries.iter_mut().filter(|t| t.running).for_each(|t| t.drop = true);
+                r.running().for_each(|t| t.drop = true);
             }
             for (nth, t) in r.tries.iter_mut().enumerate() {
                 if std::mem::take(&mut t.drop) && t.running && self.terms.may_cancel {
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -1,7 +1,9 @@
 //! Plain state containers of the decision module.
 
+use crate::link::Terms;
 use crate::time::{Point, Span};
-use std::collections::{HashMap, VecDeque};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 
 /// Ids from outside to small dense indices, in order of first sight.
 #[derive(Debug, Default)]
@@ -62,6 +64,9 @@
     pub fn at_mut(&mut self, i: usize) -> Option<&mut T> {
         self.slots.get_mut(i).and_then(Option::as_mut)
     }
+    pub fn of(&mut self, id: u64) -> Option<&mut T> {
+        self.find(id).and_then(|i| self.at_mut(i))
+    }
     pub fn drop(&mut self, id: u64) {
         if let Some(i) = self.ix.remove(&id) {
             self.slots[i] = None;
@@ -86,7 +91,7 @@
 }
 
 /// A dispatch of a req, wanted or present.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Try {
     pub srv: usize,
     pub sent: Point,
@@ -149,6 +154,12 @@
     pub deficit: f64,
 }
 
+impl Req {
+    pub fn running(&mut self) -> impl Iterator<Item = &mut Try> {
+        self.tries.iter_mut().filter(|t| t.running)
+    }
+}
+
 #[derive(Debug)]
 pub struct Call {
     pub customer: usize,
@@ -211,3 +222,43 @@
         (0..self.ready.len()).filter(|&i| self.ready[i])
     }
 }
+
+/// All that an instance keeps.
+#[derive(Default)]
+pub struct Control {
+    pub(crate) terms: Terms,
+    pub(crate) rng: fastrand::Rng,
+    pub(crate) now: Point,
+    pub(crate) began: Point,
+    pub(crate) reqs: Slab<Req>,
+    pub(crate) door: Door,
+    pub(crate) customers: Vec<Customer>,
+    pub(crate) srvs: Srvs,
+    /// by name, in the order of the calls.
+    pub(crate) calls: HashMap<u64, VecDeque<Call>>,
+    pub(crate) misses: u32,
+    pub(crate) silent: bool,
+    pub(crate) crowd: f64,
+    pub(crate) trial_at: Point,
+    pub(crate) limit: f64,
+    pub(crate) cut: bool,
+    pub(crate) out: u32,
+    pub(crate) waiting: usize,
+    /// customers with waiters.
+    pub(crate) ring: VecDeque<usize>,
+    /// by frontend: time taken, smoothed.
+    pub(crate) usual: Vec<f64>,
+    /// by frontend: its 95th percentile, smoothed.
+    pub(crate) tail: Vec<f64>,
+    pub(crate) samples: Vec<Vec<f64>>,
+    pub(crate) full: u32,
+    pub(crate) late_share: f64,
+    pub(crate) bad_share: f64,
+    pub(crate) copies: f64,
+    pub(crate) second_at: Point,
+    pub(crate) wakes: BinaryHeap<Reverse<(Point, usize)>>,
+    pub(crate) armed: Option<Point>,
+    pub(crate) touched: Vec<usize>,
+    pub(crate) dirty: Vec<usize>,
+    pub(crate) asks: bool,
+}
