--- a/src/control.rs
+++ b/src/control.rs
@@ -77,12 +77,13 @@
         let (mut late, mut seen) = (false, self.full as usize);
         for (f, s) in self.samples.iter_mut().enumerate() {
             seen += s.len();
-            // ten samples: fewer have no 95th percentile to speak of (the source: with too few, no move)
+            // the source: with too few samples, no move. The 95th percentile is past the target when more than
+            // 5% are; one standard deviation on top, else few samples cut the limit for one long req
             if s.len() >= 10 {
                 s.sort_by(f64::total_cmp);
-                let p95 = s[s.len() * 95 / 100];
-                late |= p95 > self.terms.frontends[f].target.secs();
-                blend(&mut self.tail[f], p95, 0.3);
+                let (n, target) = (s.len() as f64, self.terms.frontends[f].target.secs());
+                late |= s.iter().filter(|t| **t > target).count() as f64 > 0.05 * n + (0.05 * n).sqrt();
+                blend(&mut self.tail[f], s[s.len() * 95 / 100], 0.3);
             }
             s.clear();
         }
@@ -163,8 +164,8 @@
     /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades. What
     /// is out at a convicted srv is looked at again, whatever made it sick.
     fn evidence(&mut self, i: usize, weight: f64) {
-        /// Odds of 100 to 1.
-        const CONVICTED: f64 = 4.6;
+        /// Odds of 1000 to 1: some ten tests a second run on each srv's outcomes.
+        const CONVICTED: f64 = 6.9;
         self.distrust(i);
         self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
         if self.srvs.evidence[i] >= CONVICTED {
@@ -189,8 +190,16 @@
             }
             let s = &self.srvs;
             let credit = base * s.squeeze[i] * warm * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
-            // whole credits: a convicted srv gets nothing until half its distrust has faded, then one as a trial
-            if s.out[i] as f64 + 1.0 > credit.max(if distrust > 0.5 { 0.0 } else { 1.0 }) {
+            // whole credits: a convicted srv gets nothing until half its distrust has faded, then one as a trial;
+            // a few credits at the least elsewhere, or spread in the work alone would leave srvs idle
+            let least = if distrust > 0.5 {
+                0.0
+            } else if s.pace[i] > 3.0 || distrust > 0.2 {
+                1.0
+            } else {
+                2.0
+            };
+            if s.out[i] as f64 + 1.0 > credit.max(least) {
                 continue;
             }
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
@@ -400,7 +409,7 @@
             blend(&mut self.late_share, 1.0, 0.02);
             blend(&mut self.srvs.pace[srv], pace, 0.1);
             // a fleet-wide slowness makes lateness weak evidence against one srv
-            self.evidence(srv, (0.8 / self.late_share.clamp(0.05, 0.8)).ln());
+            self.evidence(srv, (0.5 / self.late_share.clamp(0.05, 0.5)).ln());
         }
         // second copies only while the pool has room: where all is late, more load helps nobody
         let copy = sick && running < 2 && self.copies >= 1.0 && self.ring.is_empty();
@@ -439,12 +448,12 @@
                     self.samples[f].push(took);
                     blend(&mut self.usual[f], took, 0.03);
                 }
-                blend(&mut self.srvs.pace[srv], (took / self.usual[f].max(1e-3)).min(20.0), 0.1);
+                blend(&mut self.srvs.pace[srv], (took / self.usual[f].max(1e-3)).min(20.0), 0.05);
                 self.srvs.passed[srv] += 1.0;
                 if !was_late {
                     blend(&mut self.late_share, 0.0, 0.02);
                     blend(&mut self.bad_share, 0.0, 0.02);
-                    self.evidence(srv, -0.9); // half the sick ones' dispatches would not be answered so
+                    self.evidence(srv, -0.64); // half of a sick srv's dispatches would not be answered so
                 }
                 let cust = &mut self.customers[c];
                 if self.terms.settles && e.billed > 0.0 && self.terms.plans[cust.plan].rate > 0.0 {
