--- a/benchlink/src/terms.rs
+++ b/benchlink/src/terms.rs
@@ -57,6 +57,7 @@
         memory: if uniqued { p.span("memorySpan")? } else { Span::ZERO },
         target: p.span("slo")?,
         late_value: p.num("lateWorth")?,
+        value: p.num("value")?,
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -253,10 +253,9 @@
         let slot = self.reqs.put(n.id, r);
         self.wake(ends, slot);
         let (rated, capped) = (p.rate > 0.0, p.at_once > 0);
-        // behind more waiters than are answered until its target, it would only be denied later
+        // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
-        let slack = self.terms.frontends[frontend].target.secs() - self.typical(frontend);
-        let hopeless = self.waiting as f64 > (answers * slack).max(self.limit);
+        let hopeless = self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit);
         let no_room = rated && self.room(c) < n.units || capped && self.lease_full(c);
         let cust = &self.customers[c];
         let no_part = self.silent && capped && !self.lease_alone(c, cust.held + 1.0);
@@ -369,6 +368,15 @@
         self.usual[f].min(0.5 * self.terms.frontends[f].target.secs())
     }
 
+    /// How long a req may wait for the pool: until its target is out of reach, and not so long that frontends
+    /// with clearly more value in their time would be late behind it. It acts only while the pool is full.
+    fn patience(&self, f: usize) -> f64 {
+        let slack = |g: usize| self.terms.frontends[g].target.secs() - self.typical(g);
+        let dense = |g: usize| self.terms.frontends[g].value / self.usual[g].max(1e-3);
+        let denser = (0..self.usual.len()).filter(|&g| dense(g) > 1.5 * dense(f));
+        denser.map(|g| 0.3 * slack(g)).fold(slack(f), f64::min)
+    }
+
     fn overdue_after(&self, f: usize) -> f64 {
         let target = self.terms.frontends[f].target.secs();
         (1.2 * self.tail[f]).clamp(0.25 * target, 0.6 * target)
--- a/src/link.rs
+++ b/src/link.rs
@@ -25,6 +25,7 @@
     pub memory: Span,
     pub target: Span,
     pub late_value: f64,
+    pub value: f64,
 }
 
 #[derive(Clone, Debug)]
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -38,7 +38,7 @@
         _ => Group::All,
     };
     let (memory, target) = (Span::from_secs(num(w, "memory", 2.0)), Span::from_secs(num(w, "target", 1.0)));
-    Frontend { effect, group, memory, target, late_value: num(w, "late", 0.0) }
+    Frontend { effect, group, memory, target, late_value: num(w, "late", 0.0), value: num(w, "value", 1.0) }
 }
 
 fn plan(w: &[&str]) -> Plan {
