--- a/src/control.rs
+++ b/src/control.rs
@@ -256,7 +256,9 @@
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
         let hopeless = self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit);
-        let no_room = rated && self.room(c) < n.units || capped && self.lease_full(c);
+        let need =
+            if rated && self.silent { (THETA * n.units / self.share(c)).max(n.units) } else { n.units };
+        let no_room = rated && self.room(c) < need || capped && self.lease_full(c);
         let cust = &self.customers[c];
         let no_part = self.silent && capped && !self.lease_alone(c, cust.held + 1.0);
         let rated_alone = self.silent || cust.run >= (1.0 - self.crowd) * p.burst + n.units;
@@ -601,7 +603,7 @@
             let fits = match (answered, call.lease) {
                 (true, _) => over <= 1e-3,
                 (_, true) => self.lease_alone(c, self.customers[c].held),
-                _ => self.room(c) >= 0.0,
+                _ => self.room(c) + units >= (THETA * units / self.share(c)).max(units),
             };
             if !fits {
                 over -= if call.lease { 1.0 } else { units };
@@ -786,3 +788,4 @@
 const TRIAL: Span = Span::millis(200);
 /// Own and total use are remembered about this long: the spread of a customer moves within some seconds.
 const SHARE_MEMORY: f64 = 8.0;
+const THETA: f64 = 0.5;
