--- a/benchlink/src/terms.rs
+++ b/benchlink/src/terms.rs
@@ -58,6 +58,7 @@
         target: p.span("slo")?,
         late_value: p.num("lateWorth")?,
         value: p.num("value")?,
+        timeout: p.span("deadline")?,
     })
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -22,6 +22,7 @@
             silent: !terms.counter,
             // first guesses until answers come: targets are set some times above the usual time
             usual: targets().map(|t| t / 5.0).collect(),
+            most_left: targets().map(|_| Span::ZERO).collect(),
             tail: targets().map(|t| t / 2.0).collect(),
             samples: targets().map(|_| Vec::new()).collect(),
             terms,
@@ -246,7 +247,12 @@
         }
         self.customers[c].spread = n.spread.max(1.0);
         let frontend = (n.frontend as usize).min(self.terms.frontends.len() - 1);
-        let target = self.now + self.terms.frontends[frontend].target;
+        // A client's repeat still counts from its first try. Where its time left is less than first tries have,
+        // the client timeout cuts it, which tells when that was; a repeat past its target is not worth sending.
+        let f = &self.terms.frontends[frontend];
+        self.most_left[frontend] = self.most_left[frontend].max(n.left);
+        let cut = n.repeat && n.left < self.most_left[frontend].times(0.99) && f.late_value == 0.0;
+        let target = self.now + f.target - if cut { f.timeout - n.left } else { Span::ZERO };
         // the final answer leaves a little ahead of the client timeout
         let ends = self.now + n.left - self.terms.period - Span::millis(2);
         let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
@@ -265,7 +271,8 @@
         let fresh = cust.lease.seen.is_some_and(|s| self.now.since(s) < ROLL);
         let capped_alone =
             self.silent || fresh && cust.lease.total.max(cust.held) < self.crowd * p.at_once as f64;
-        if hopeless || no_room || no_part || !self.ceiling(c, n.units) {
+        let past = cut && target < self.now.later(self.typical(frontend));
+        if past || hopeless || no_room || no_part || !self.ceiling(c, n.units) {
             return self.end(slot, false);
         }
         let share = if rated && rated_alone { self.share(c) } else { 1.0 };
--- a/src/link.rs
+++ b/src/link.rs
@@ -26,6 +26,7 @@
     pub target: Span,
     pub late_value: f64,
     pub value: f64,
+    pub timeout: Span,
 }
 
 #[derive(Clone, Debug)]
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -248,6 +248,8 @@
     pub(crate) ring: VecDeque<usize>,
     /// by frontend: time taken, smoothed.
     pub(crate) usual: Vec<f64>,
+    /// by frontend: the longest time left that a req came with.
+    pub(crate) most_left: Vec<Span>,
     /// by frontend: its 95th percentile, smoothed.
     pub(crate) tail: Vec<f64>,
     pub(crate) samples: Vec<Vec<f64>>,
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -38,7 +38,15 @@
         _ => Group::All,
     };
     let (memory, target) = (Span::from_secs(num(w, "memory", 2.0)), Span::from_secs(num(w, "target", 1.0)));
-    Frontend { effect, group, memory, target, late_value: num(w, "late", 0.0), value: num(w, "value", 1.0) }
+    Frontend {
+        effect,
+        group,
+        memory,
+        target,
+        late_value: num(w, "late", 0.0),
+        value: num(w, "value", 1.0),
+        timeout: Span::from_secs(num(w, "timeout", 3.0)),
+    }
 }
 
 fn plan(w: &[&str]) -> Plan {
@@ -168,7 +176,7 @@
             "req" => Event::Req(NewReq {
                 id: w[1].parse().expect("an id"),
                 frontend: num(w, "frontend", 0.0) as u16,
-                repeat: false,
+                repeat: num(w, "repeat", 0.0) > 0.0,
                 units: num(w, "units", 1.0),
                 customer: num(w, "customer", 7.0) as u64,
                 plan: num(w, "plan", 0.0) as u32,
@@ -191,6 +199,7 @@
 }
 
 #[test_case("quota"; "the quota is charged before sending and taken back on a denial")]
+#[test_case("repeat"; "a repeat past its target is denied at once")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
