--- a/src/control.rs
+++ b/src/control.rs
@@ -23,6 +23,7 @@
             usual: part(0.2),
             tail: part(0.5),
             most_left: part(0.0),
+            copies: 5.0, // half the most: a fresh gateway may meet sick srvs at once
             samples: vec![Vec::new(); terms.frontends.len()],
             terms,
             ..Control::default()
@@ -89,9 +90,7 @@
             self.limit += if self.cut { 1.0 } else { ready / 4.0 };
         }
         // never so low that nothing is learnt; never so high that a cut would not be felt
-        let start = self.start();
-        self.limit = self.limit.clamp(0.15 * start, 4.0 * start);
-        self.full = 0;
+        (self.limit, self.full) = (self.limit.clamp(0.15 * self.start(), 4.0 * self.start()), 0);
         for i in 0..self.srvs.ready.len() {
             let rate = self.cold_rate(i);
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
@@ -161,11 +160,9 @@
         self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
         if self.srvs.evidence[i] >= CONVICTED {
             (self.srvs.evidence[i], self.srvs.distrust[i]) = (CONVICTED / 2.0, 1.0);
-            for slot in self.reqs.slots() {
-                if self.reqs.at(slot).is_some_and(|r| r.tries.iter().any(|t| t.running && t.srv == i)) {
-                    self.wake(self.now, slot);
-                }
-            }
+            let there = |r: &Req| r.tries.iter().any(|t| t.running && t.srv == i);
+            let slots = self.reqs.slots().filter(|&slot| self.reqs.at(slot).is_some_and(there));
+            self.wakes.extend(slots.map(|slot| Reverse((self.now, slot))));
         }
     }
 
@@ -183,19 +180,11 @@
             let credit = base * s.squeeze[i] * warm * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
             // whole credits: a convicted srv gets nothing until half its distrust has faded, then one as a trial;
             // a few credits at the least elsewhere, or spread in the work alone would leave srvs idle
-            let least = if distrust > 0.5 {
-                0.0
-            } else if s.pace[i] > 3.0 || distrust > 0.2 {
-                1.0
-            } else {
-                2.0
-            };
-            if s.out[i] as f64 + 1.0 > credit.max(least) {
-                continue;
-            }
+            let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
+            let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
             let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
-            if best.is_none_or(|b| cost < b.0) {
+            if left && best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
             }
         }
@@ -206,10 +195,9 @@
     fn may_go(&self, slot: usize, i: usize) -> bool {
         let Some(r) = self.reqs.at(slot) else { return false };
         let (f, s) = (&self.terms.frontends[r.frontend], &self.srvs);
-        if !s.ready[i] || r.tries.len() >= self.terms.max_dispatches as usize || r.begun || r.end.is_some() {
-            return false;
-        }
-        if r.tries.iter().any(|t| t.running && (t.srv == i || !self.terms.may_duplicate)) {
+        let most = self.terms.max_dispatches as usize;
+        let twice = |t: &Try| t.running && (t.srv == i || !self.terms.may_duplicate);
+        if !s.ready[i] || r.tries.len() >= most || r.begun || r.end.is_some() || r.tries.iter().any(twice) {
             return false;
         }
         let Some(first) = r.tries.iter().find(|t| t.ran) else { return true };
@@ -230,8 +218,7 @@
             self.customers.push(Customer::new(n.plan, p.burst, self.now, self.began));
         }
         self.customers[c].spread = n.spread.max(1.0);
-        // A client's repeat still counts from its first try. Where its time left is less than first tries have,
-        // the client timeout cuts it, which tells when that was; a repeat past its target is not worth sending.
+        // A repeat still counts from its first try: time left that the client timeout cut tells when that was.
         let most = &mut self.most_left[frontend];
         *most = most.max(n.left.secs());
         let cut = n.repeat && n.left.secs() < 0.99 * *most && f.late_value == 0.0;
@@ -259,7 +246,7 @@
         let spare = age < ROLL && cust.lease.total.max(cust.held) < crowd * cap;
         let ask_lease = cap > 0.0 && !self.silent && !spare;
         if past || hopeless || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
-            return self.end(slot, false);
+            return self.end(slot);
         }
         let share = if ask_quota { 1.0 } else { self.share(c) };
         let cust = &mut self.customers[c];
@@ -270,7 +257,7 @@
         self.dirty.push(c);
         match (ask_quota as u8 + ask_lease as u8, self.reqs.at_mut(slot)) {
             (0, _) | (_, None) => self.admit(slot),
-            (verdicts, Some(r)) => r.verdicts = verdicts,
+            (verdicts, Some(r)) => (r.stage, r.verdicts) = (Stage::Charging, verdicts),
         }
     }
 
@@ -342,13 +329,11 @@
         }
         r.stage = Stage::Out;
         r.tries.push(Try { srv, sent: self.now, running: true, ran: true, ..Try::default() });
-        self.srvs.out[srv] += 1;
-        self.out += 1;
+        (self.srvs.out[srv], self.out) = (self.srvs.out[srv] + 1, self.out + 1);
         self.touched.push(slot);
     }
 
-    /// The usual time, but never so much of the target that nothing would be tried: a slow spell must not
-    /// stop the traffic that would show its end.
+    /// The usual time, but half the target at most: a slow spell must not stop the traffic that shows its end.
     fn typical(&self, f: usize) -> f64 {
         self.usual[f].min(0.5 * self.terms.frontends[f].target.secs())
     }
@@ -379,12 +364,12 @@
         let by = if late_too { r.ends } else { r.target.min(r.ends) };
         let give_up = by - Span::from_secs(self.typical(f));
         if self.now >= r.ends || stage == Stage::Waiting && self.now >= give_up {
-            return self.end(slot, true);
+            return self.end(slot);
         }
         match stage {
             Stage::Waiting => return self.wake(give_up.max(self.now + Span::millis(5)), slot),
-            Stage::Charging => return,
-            _ => {}
+            Stage::Out => {}
+            _ => return,
         }
         let after = self.overdue_after(f);
         let (mut running, mut sick, mut late) = (0, false, Vec::new());
@@ -417,7 +402,7 @@
             None if self.now < give_up && self.srvs.open().any(|i| self.may_go(slot, i)) => {
                 self.wake(self.now + Span::millis(20), slot)
             }
-            None => self.end(slot, true),
+            None => self.end(slot),
         }
     }
 
@@ -428,8 +413,7 @@
         t.running = false;
         t.ran = !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
         let (srv, was_late, sent) = (t.srv, t.overdue, t.sent);
-        self.srvs.out[srv] -= 1;
-        self.out -= 1;
+        (self.srvs.out[srv], self.out) = (self.srvs.out[srv] - 1, self.out - 1);
         self.customers[c].held -= 1.0;
         self.dirty.push(c);
         // the pool hears of answers, and of what was not answered in time with nobody to blame
@@ -466,55 +450,45 @@
                 self.evidence(srv, (0.6 / self.bad_share.clamp(0.02, 0.1)).ln());
             }
         }
-        if e.closed || over {
-            self.close(e.id);
-        } else {
-            self.review(slot);
+        match e.closed || over {
+            true => self.close(e.id),
+            false => self.review(slot),
         }
     }
 
     /// Gives a req its final answer: a denial where the rules allow one, else an abort.
-    fn end(&mut self, slot: usize, taken: bool) {
-        let Some(r) = self.reqs.at_mut(slot).filter(|r| r.end.is_none() && r.stage != Stage::Over) else {
-            return;
-        };
+    fn end(&mut self, slot: usize) {
+        self.take_back(slot, true);
+        let open = |r: &&mut Req| r.end.is_none() && r.stage != Stage::Over;
+        let Some(r) = self.reqs.at_mut(slot).filter(open) else { return };
         let f = &self.terms.frontends[r.frontend];
         let harmless = f.effect == Effect::Uniqued && f.group == Group::All;
         let deny = f.effect == Effect::Replayable || harmless || !r.tries.iter().any(|t| t.ran);
         let cust = &self.customers[r.customer];
         let rate = self.terms.plans[cust.plan].rate;
-        let short = if rate > 0.0 { (r.units - cust.run).max(0.0) / rate } else { 0.0 };
         // the hint: when the store will hold its units, or a moment for a lease or a place to become free
+        let short = if rate > 0.0 { (r.units - cust.run).max(0.0) / rate } else { 0.0 };
         let hint = Span::from_secs(short.max(0.05)).min(self.terms.longest_hint);
-        let hint = if self.terms.may_hint { hint } else { Span::ZERO };
-        r.end =
-            Some(if deny { Action::Deny { id: r.id, back_off: hint } } else { Action::Abort { id: r.id } });
+        let (id, back_off) = (r.id, if self.terms.may_hint { hint } else { Span::ZERO });
+        r.end = Some(if deny { Action::Deny { id, back_off } } else { Action::Abort { id } });
         self.touched.push(slot);
-        if taken {
-            self.take_back(slot, true);
-        }
     }
 
     /// What was charged for a req that was never sent comes back, at once where others may lack it.
     fn take_back(&mut self, slot: usize, urgent: bool) {
-        let Some(r) = self.reqs.at(slot) else { return };
-        if !matches!(r.stage, Stage::Charging | Stage::Waiting) {
-            return;
-        }
+        let charged = |r: &&Req| matches!(r.stage, Stage::Charging | Stage::Waiting) && r.end.is_none();
+        let Some(r) = self.reqs.at(slot).filter(charged) else { return };
         let cust = &mut self.customers[r.customer];
-        cust.held -= 1.0;
+        (cust.held, cust.run) = (cust.held - 1.0, cust.run + r.units);
         cust.quota.owed -= r.units;
-        cust.run += r.units;
         cust.quota.urgent |= urgent;
         self.dirty.push(r.customer);
     }
 
     /// The req is over for the client: what still runs is cancelled, and forgotten with its last outcome.
     fn close(&mut self, id: u64) {
-        let Some((slot, ended)) = self.reqs.of(id).map(|(i, r)| (i, r.end.is_some())) else { return };
-        if !ended {
-            self.take_back(slot, false);
-        }
+        let Some(slot) = self.reqs.of(id).map(|(slot, _)| slot) else { return };
+        self.take_back(slot, false);
         let Some(r) = self.reqs.at_mut(slot) else { return };
         r.stage = Stage::Over;
         r.running().for_each(|t| t.drop = true);
@@ -580,7 +554,7 @@
                 units
             };
             match (fits, left) {
-                (false, _) => self.end(slot, true),
+                (false, _) => self.end(slot),
                 (true, 0) => self.admit(slot),
                 _ => {}
             }
@@ -601,10 +575,10 @@
         if call.epoch < q.epoch {
             return (-cust.level).max(0.0);
         }
-        let mut delta = if call.epoch > q.epoch || q.seen.is_none() { total } else { total - q.total };
-        if delta - call.amount < -(largest * 2.0).max(0.5 * q.total) {
-            delta = total; // the counter came back empty: own memory of the store still counts
-        }
+        // a new name, or the counter came back empty: own memory of the store still counts
+        let fell = q.total - total + call.amount > (largest * 2.0).max(0.5 * q.total);
+        let anew = call.epoch > q.epoch || q.seen.is_none() || fell;
+        let delta = if anew { total } else { total - q.total };
         let others = delta - call.amount;
         // an unanswered add that never got there is made again
         q.owed += if others < 0.5 * q.doubt { q.doubt } else { 0.0 };
@@ -674,9 +648,7 @@
                 self.reqs.drop(id);
             }
         }
-        for c in std::mem::take(&mut self.dirty) {
-            self.put_counts(c, acts);
-        }
+        std::mem::take(&mut self.dirty).into_iter().for_each(|c| self.put_counts(c, acts));
         let next = self.wakes.peek().map_or(self.second_at, |Reverse(w)| w.0.min(self.second_at));
         let next = next.max(self.now + Span::millis(1));
         if self.armed.is_none_or(|a| next < a) {
@@ -734,8 +706,7 @@
     }
 }
 
-/// A quota window; half the longest life of a name, so that rolling, which forgets others' last use, is rare.
-const WINDOW: f64 = 30.0;
+const WINDOW: f64 = 30.0; // half a name's longest life: rolling, which forgets others' last use, is rare
 const ROLL: f64 = 2.0; // DESIGN: in-flight names roll every two seconds; totals older than that are stale
 const LEAD: f64 = 0.1; // leases go to the next name this long ahead: several counter round trips
 const TRIAL: Span = Span::millis(200); // while silent, one call: soon enough against two seconds of staleness
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -76,6 +76,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum Stage {
     #[default]
+    Arrived,
     Charging,
     Waiting,
     Out,
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -200,6 +200,16 @@
 
 #[test_case("quota"; "the quota is charged before sending and taken back on a denial")]
 #[test_case("repeat"; "a repeat past its target is denied at once")]
+#[test_case("silence"; "a silent counter leaves this gateway's part")]
+#[test_case("settle"; "true units go with the next add")]
+#[test_case("drain"; "draining and gone srvs get nothing")]
+#[test_case("once"; "a non-replayable req never runs twice")]
+#[test_case("group"; "a uniqued req stays in its group and memory")]
+#[test_case("cold"; "a cold srv gets no burst")]
+#[test_case("sick"; "a sick srv is left alone")]
+#[test_case("ceiling"; "hard ceilings hold over restarts")]
+#[test_case("stuck"; "a slow spell does not stop the traffic")]
+#[test_case("stream"; "a begun answer is left alone")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
