--- a/src/control.rs
+++ b/src/control.rs
@@ -561,10 +561,9 @@
         }
     }
 
-    /// Reads the store out of a total: what others added since the last one is taken as spread over that time.
-    /// Returns by how much the store is overdrawn.
+    /// Reads the store out of a total; returns by how much it is overdrawn. How much of the fill a full store
+    /// lost is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
     fn quota_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
-        let (now, largest) = (self.now, self.terms.largest);
         let cust = &mut self.customers[call.customer];
         let (p, q) = (&self.terms.plans[cust.plan], &mut cust.quota);
         q.flying -= call.amount;
@@ -576,18 +575,19 @@
             return (-cust.level).max(0.0);
         }
         // a new name, or the counter came back empty: own memory of the store still counts
-        let fell = q.total - total + call.amount > (largest * 2.0).max(0.5 * q.total);
+        let fell = q.total - total + call.amount > (2.0 * self.terms.largest).max(0.5 * q.total);
         let anew = call.epoch > q.epoch || q.seen.is_none() || fell;
         let delta = if anew { total } else { total - q.total };
         let others = delta - call.amount;
         // an unanswered add that never got there is made again
         q.owed += if others < 0.5 * q.doubt { q.doubt } else { 0.0 };
         q.doubt = 0.0;
-        let since = if q.seen.is_none() { now.secs() % WINDOW } else { now.since(cust.level_at) };
-        (q.epoch, q.total, q.seen) = (call.epoch, total, Some(now));
-        let before = cust.level + p.rate * since - (delta - call.units);
-        (cust.level, cust.level_at) = (before.min(p.burst) - call.units, now);
-        (cust.run, cust.run_at) = (cust.level - q.flying - q.owed, now);
+        let since = if q.seen.is_none() { self.now.secs() % WINDOW } else { self.now.since(cust.level_at) };
+        (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
+        let all = cust.level + p.rate * since;
+        let (least, most) = (all.min(p.burst) - delta, (all - delta + call.units).min(p.burst) - call.units);
+        cust.level = most + (least - most) * p.overrun_cost / (1.0 + p.overrun_cost);
+        (cust.level_at, cust.run_at, cust.run) = (self.now, self.now, cust.level - q.flying - q.owed);
         let keep = (-since / SHARE_MEMORY).exp();
         cust.own = cust.own * keep + call.amount.max(0.0);
         cust.all = cust.all * keep + call.amount.max(0.0) + others.max(0.0);
