--- a/src/control.rs
+++ b/src/control.rs
@@ -223,8 +223,7 @@
         *most = most.max(n.left.secs());
         let cut = n.repeat && n.left.secs() < 0.99 * *most && f.late_value == 0.0;
         let target = self.now + f.target - if cut { f.timeout - n.left } else { Span::ZERO };
-        // the final answer leaves a little ahead of the client timeout
-        let ends = self.now + n.left - self.terms.period - Span::millis(2);
+        let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
         let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
         let slot = self.reqs.put(n.id, r);
         self.wake(ends, slot);
@@ -618,9 +617,7 @@
 
     /// The one place that acts: compares what is wanted with what is there and emits the difference.
     fn settle(&mut self, acts: &mut Vec<Action>) {
-        if std::mem::take(&mut self.asks) {
-            acts.push(Action::Watch { on: true });
-        }
+        acts.extend(std::mem::take(&mut self.asks).then_some(Action::Watch { on: true }));
         for slot in std::mem::take(&mut self.touched) {
             let Some(f) = self.reqs.at(slot).map(|r| r.frontend) else { continue };
             let after = self.overdue_after(f);
@@ -660,7 +657,7 @@
     /// A customer's adds: only names that its plan needs; corrections go with the next add where nobody waits
     /// for them. Held leases go to the next name ahead of it; they stay in the old one, which nobody asks again.
     fn put_counts(&mut self, c: usize, acts: &mut Vec<Action>) {
-        let now = self.now.secs();
+        let (now, share) = (self.now.secs(), self.share(c));
         let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
         if self.silent && cust.quota.joins.is_empty() && cust.lease.joins.is_empty() {
@@ -671,10 +668,13 @@
         }
         let (q, l) = (&mut cust.quota, &mut cust.lease);
         let mut calls = Vec::new();
-        // what was let in without a call is told within a second
-        let overdue = q.owed > 0.0 && self.now.since(q.called) > 1.0;
+        let overdue = q.owed > 0.0 && self.now.since(q.called) > 1.0; // let in without a call
+                                                                      // after a silence only what the store still lacks is told: the rest has filled up again, and all at
+                                                                      // once from each gateway it would shut the customer out for as long as the silence was
+        let stale = q.seen.is_none_or(|s| self.now.since(s) > ROLL);
+        let lack = q.joins.iter().map(|j| j.2).sum::<f64>() + share * (p.burst - cust.run).max(0.0);
         if p.rate > 0.0 && (!q.joins.is_empty() || q.urgent || self.silent || overdue) {
-            let amount = std::mem::take(&mut q.owed);
+            let amount = std::mem::take(&mut q.owed).min(if stale { lack } else { f64::MAX });
             (q.urgent, q.called, q.flying) = (false, self.now, q.flying + amount);
             calls.push((false, (now / WINDOW) as u64, amount, std::mem::take(&mut q.joins)));
         }
