--- a/src/control.rs
+++ b/src/control.rs
@@ -90,7 +90,7 @@
             self.limit += if self.cut { 1.0 } else { ready / 4.0 };
         }
         // never so low that nothing is learnt; never so high that a cut would not be felt
-        (self.limit, self.full) = (self.limit.clamp(0.15 * self.start(), 4.0 * self.start()), 0);
+        (self.limit, self.full) = (self.limit.clamp(0.4 * self.start(), 4.0 * self.start()), 0);
         for i in 0..self.srvs.ready.len() {
             let rate = self.cold_rate(i);
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
