Counter unanswered: leases by what others had out lately; room by the own share

Cause, in three incidents with eight to twelve gateways: without an answer each gateway let one through, whatever the cap; and each asked the crowded counter as soon as its own view of the fill allowed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -215,7 +215,8 @@
         let (c, new) = self.door.enter(n.customer);
         let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
         if new {
-            self.customers.push(Customer::new(n.plan, p.burst, self.now, self.began));
+            let others = 0.5 * p.at_once as f64 * (1.0 - 1.0 / n.spread.max(1.0)); // until totals tell
+            self.customers.push(Customer::new(n.plan, p.burst, others, self.now, self.began));
         }
         self.customers[c].spread = n.spread.max(1.0);
         // A repeat still counts from its first try: time left that the client timeout cut tells when that was.
@@ -496,9 +497,11 @@
 
     /// The customer's store as far as this gateway knows: the last totals, what it filled, what went out here.
     fn room(&mut self, c: usize) -> f64 {
+        // a crowded counter is asked less: of what fills, the others are taken to use their share
+        let gain = if self.silent { 1.0 } else { 1.0 - self.crowd * (1.0 - self.share(c)) };
         let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
-        cust.run = (cust.run + p.rate * self.now.since(cust.run_at)).min(p.burst);
+        cust.run = (cust.run + gain * p.rate * self.now.since(cust.run_at)).min(p.burst);
         cust.run_at = self.now;
         cust.run
     }
@@ -507,15 +510,14 @@
     /// even split of DESIGN while the counter is silent, else customers gathered on few gateways starve.
     fn share(&self, c: usize) -> f64 {
         let cust = &self.customers[c];
-        let p = &self.terms.plans[cust.plan];
-        let prior = if p.rate > 0.0 { 0.5 * p.burst } else { p.at_once as f64 };
+        let prior = 0.5 * self.terms.plans[cust.plan].burst.max(1.0);
         ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
     }
 
-    /// Counter silent: this gateway's part of the cap, rounded to the nearer side, one at least.
+    /// Without an answer: under the cap with what the others had out lately. One each at least would pass a
+    /// small cap many times over where a customer comes in through many gateways.
     fn lease_alone(&self, c: usize, held: f64) -> bool {
-        let cap = self.terms.plans[self.customers[c].plan].at_once as f64;
-        held <= (cap * self.share(c)).round().max(1.0)
+        held + self.customers[c].lease.others <= self.terms.plans[self.customers[c].plan].at_once as f64
     }
 
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
@@ -606,11 +608,7 @@
             l.put -= if added { 0.0 } else { call.amount };
             return 0.0;
         }
-        if p.rate <= 0.0 {
-            let keep = l.seen.map_or(0.0, |s| (-self.now.since(s) / SHARE_MEMORY).exp());
-            cust.own = cust.own * keep + l.put.max(0.0) * (1.0 - keep);
-            cust.all = cust.all * keep + total.max(l.put).max(0.0) * (1.0 - keep);
-        }
+        blend(&mut l.others, (total - l.put).max(0.0), 0.2);
         (l.total, l.seen) = (total, Some(self.now));
         (total - p.at_once as f64).max(0.0)
     }
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -124,6 +124,8 @@
     pub flying: f64,
     pub owed: f64,
     pub doubt: f64,
+    /// What others had on it lately, smoothed.
+    pub others: f64,
     /// Reqs that wait for the next total: slot, id, units.
     pub joins: Vec<(usize, u64, f64)>,
     pub urgent: bool,
@@ -156,7 +158,7 @@
 }
 
 impl Customer {
-    pub fn new(plan: usize, burst: f64, now: Point, began: Point) -> Customer {
+    pub fn new(plan: usize, burst: f64, others: f64, now: Point, began: Point) -> Customer {
         Customer {
             plan,
             level: burst,
@@ -164,6 +166,7 @@
             run: burst,
             run_at: now,
             ceiling_at: began,
+            lease: Account { others, ..Account::default() },
             ..Customer::default()
         }
     }
