--- a/src/control.rs
+++ b/src/control.rs
@@ -517,7 +517,7 @@
     /// Without an answer: under the cap with what the others had out lately. One each at least would pass a
     /// small cap many times over where a customer comes in through many gateways.
     fn lease_alone(&self, c: usize, held: f64) -> bool {
-        held + self.customers[c].lease.others <= self.terms.plans[self.customers[c].plan].at_once as f64
+        held + self.customers[c].lease.others <= self.terms.plans[self.customers[c].plan].at_once as f64 + 0.5
     }
 
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
