--- a/src/control.rs
+++ b/src/control.rs
@@ -282,7 +282,8 @@
         if self.customers[c].queue.is_empty() {
             self.ring.push_back(c);
         }
-        self.customers[c].queue.push_back(slot);
+        // newest first: where a customer waits at all, its older reqs are the likelier to be late anyway
+        self.customers[c].queue.push_front(slot);
         self.waiting += 1;
     }
 
