--- a/src/control.rs
+++ b/src/control.rs
@@ -68,7 +68,7 @@
 
     /// AIMD on the pool limit (DESIGN). Samples of srvs under suspicion are left out in `ended`, since a few
     /// sick srvs say nothing of the room in the others. Until the first cut the climb is faster, since a fresh
-    /// gateway lags warm srvs.
+    /// gateway lags warm srvs. Places that nobody used don't raise the limit and don't dull a cut.
     fn second(&mut self) {
         let ready = self.srvs.open().count().max(1) as f64;
         let (mut late, mut seen) = (false, self.full as usize);
@@ -85,12 +85,12 @@
             s.clear();
         }
         if late || self.full as f64 > 0.1 * seen as f64 {
-            (self.limit, self.cut) = (self.limit * 0.7, true);
-        } else if seen >= 10 {
+            (self.limit, self.cut) = (self.limit.min(self.peak) * 0.7, true);
+        } else if seen >= 10 && self.peak > 0.5 * self.limit {
             self.limit += if self.cut { 1.0 } else { ready / 4.0 };
         }
-        // never so low that nothing is learnt; never so high that a cut would not be felt
-        (self.limit, self.full) = (self.limit.clamp(0.4 * self.start(), 4.0 * self.start()), 0);
+        // never under about one req a core, where chance alone would keep srvs idle
+        (self.limit, self.full, self.peak) = (self.limit.max(0.4 * self.start()), 0, self.out as f64);
         for i in 0..self.srvs.ready.len() {
             let rate = self.cold_rate(i);
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
@@ -331,6 +331,7 @@
         r.stage = Stage::Out;
         r.tries.push(Try { srv, sent: self.now, running: true, ran: true, ..Try::default() });
         (self.srvs.out[srv], self.out) = (self.srvs.out[srv] + 1, self.out + 1);
+        self.peak = self.peak.max(self.out as f64);
         self.touched.push(slot);
     }
 
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -272,6 +272,8 @@
     pub(crate) limit: f64,
     pub(crate) cut: bool,
     pub(crate) out: u32,
+    /// The most that were out in this second.
+    pub(crate) peak: f64,
     pub(crate) waiting: usize,
     /// customers with waiters.
     pub(crate) ring: VecDeque<usize>,
