--- a/src/control.rs
+++ b/src/control.rs
@@ -90,7 +90,7 @@
             self.limit += if self.cut { 1.0 } else { ready / 4.0 };
         }
         // never under about one req a core, where chance alone would keep srvs idle
-        (self.limit, self.full, self.peak) = (self.limit.max(0.4 * self.start()), 0, self.out as f64);
+        (self.limit, self.full, self.peak) = (self.limit.max(0.6 * self.start()), 0, self.out as f64);
         for i in 0..self.srvs.ready.len() {
             let rate = self.cold_rate(i);
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
@@ -123,9 +123,9 @@
     }
 
     /// DESIGN: the pool starts at a set figure per ready srv. All gateways together send there, so the figure
-    /// is divided by them: a few cores' worth of work and a short queue.
+    /// is divided by them: about a req a core; it climbs where that is used up.
     fn start(&self) -> f64 {
-        8.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
+        4.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
 
     /// What a srv can do now as a share of its full capacity, going by the slowest warming that the rules allow.
