--- a/src/control.rs
+++ b/src/control.rs
@@ -104,8 +104,7 @@
     /// Follows the list; the pool limit keeps its figure per ready srv when the fleet shrinks or grows.
     fn list(&mut self, kind: ListKind, rows: &[SrvRow]) {
         self.asks |= kind == ListKind::Failed && self.terms.ask_list;
-        let before = self.srvs.open().count() as f64;
-        let s = &mut self.srvs;
+        let (before, s) = (self.srvs.open().count() as f64, &mut self.srvs);
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             s.ready.iter_mut().for_each(|r| *r = false);
         }
@@ -233,7 +232,7 @@
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
         let hopeless = self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit);
         let past = cut && target < self.now.later(self.typical(frontend));
-        let need = if self.silent { (THETA * n.units / self.share(c)).max(n.units) } else { n.units };
+        let need = if self.silent { self.need(c, n.units) } else { n.units };
         let no_units = rated && self.room(c) < need;
         let (cust, crowd) = (&self.customers[c], self.crowd);
         let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
@@ -356,11 +355,9 @@
 
     /// Looks at one req anew: its end, its place in the queue, its overdue dispatches, the next wake.
     fn review(&mut self, slot: usize) {
-        let Some(r) = self.reqs.at(slot) else { return };
+        let live = |r: &&Req| r.end.is_none() && !r.begun && r.stage != Stage::Over;
+        let Some(r) = self.reqs.at(slot).filter(live) else { return };
         let (f, stage) = (r.frontend, r.stage);
-        if r.end.is_some() || r.begun || stage == Stage::Over {
-            return;
-        }
         // late answers may earn something too, but a queue that only makes late is no use
         let late_too = self.terms.frontends[f].late_value > 0.0 && stage == Stage::Out;
         let by = if late_too { r.ends } else { r.target.min(r.ends) };
@@ -516,6 +513,14 @@
         ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
     }
 
+    /// What the store must hold to let units in without an answer: half of them over the own share. At all of
+    /// them the slices of all gateways never pass the store (DESIGN), but customers gathered on few starve. Most
+    /// of the burst is enough in any case, else a calm store would be shut to one of many gateways.
+    fn need(&self, c: usize, units: f64) -> f64 {
+        let most = 0.7 * self.terms.plans[self.customers[c].plan].burst;
+        (0.5 * units / self.share(c)).min(most).max(units)
+    }
+
     /// Without an answer: under the cap with what the others had out lately. One each at least would pass a
     /// small cap many times over where a customer comes in through many gateways.
     fn lease_alone(&self, c: usize, held: f64) -> bool {
@@ -544,7 +549,7 @@
             let fits = match (answered, call.lease) {
                 (true, _) => over <= 1e-3,
                 (_, true) => self.lease_alone(c, self.customers[c].held),
-                _ => self.room(c) + units >= (THETA * units / self.share(c)).max(units),
+                _ => self.room(c) + units >= self.need(c, units),
             };
             // the own use is off `run` already; what the others use meanwhile goes off too
             let others = if answered || call.lease { 0.0 } else { units / self.share(c) - units };
@@ -572,9 +577,8 @@
         q.flying -= call.amount;
         if !answered {
             *(if added { &mut q.doubt } else { &mut q.owed }) += call.amount;
-            return 0.0;
         }
-        if call.epoch < q.epoch {
+        if !answered || call.epoch < q.epoch {
             return (-cust.level).max(0.0);
         }
         // a new name, or the counter came back empty: own memory of the store still counts
@@ -711,6 +715,3 @@
 const LEAD: f64 = 0.1; // leases go to the next name this long ahead: several counter round trips
 const TRIAL: Span = Span::millis(200); // while silent, one call: soon enough against two seconds of staleness
 const SHARE_MEMORY: f64 = 8.0; // seconds of own and total use: the spread of a customer moves within some
-/// Let in without the counter if this part of the units over the own share is there: at 1 the slices of all
-/// gateways never pass the store (DESIGN), but a customer gathered on few of them starves on its slices.
-const THETA: f64 = 0.5;
