--- a/tests/play.rs
+++ b/tests/play.rs
@@ -213,6 +213,7 @@
 #[test_case("unanswered"; "no lease on a cap that others fill")]
 #[test_case("queue"; "a full pool denies early")]
 #[test_case("many"; "a calm store is open to one of many gateways")]
+#[test_case("cells"; "uniqued reqs by cell and by all")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
