--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,6 @@
 //! All decisions of a gateway. `Control::new(terms)` at start, then `round(now, events, actions)` for each
 //! batch; terms, events and actions are defined in `link`. Events change the wanted state (what should be
-//! out, held on the counter, timed); `settle` alone compares it with the present one and emits the difference.
+//! out, held on the counter, timed); `settle` alone compares it with the present and emits the difference.
 
 use crate::link::*;
 pub use crate::tables::Control;
@@ -67,14 +67,14 @@
     }
 
     /// AIMD on the pool limit (DESIGN). Samples of srvs under suspicion are left out in `ended`, since a few
-    /// sick srvs say nothing of the room in the others. Until the first cut the climb is faster, since a fresh
+    /// sick srvs say nothing of the room in the others. Until the first cut the climb is faster: a fresh
     /// gateway lags warm srvs. Places that nobody used don't raise the limit and don't dull a cut.
     fn second(&mut self) {
         let ready = self.srvs.open().count().max(1) as f64;
         let (mut late, mut seen) = (false, self.full as usize);
         for (f, s) in self.samples.iter_mut().enumerate() {
             seen += s.len();
-            // the source: with too few samples, no move. The 95th percentile is past the target when more than
+            // the source: too few samples, no move. The 95th percentile is past the target when more than
             // 5% are; one standard deviation on top, else few samples cut the limit for one long req
             if s.len() >= 10 {
                 s.sort_by(f64::total_cmp);
@@ -127,7 +127,7 @@
         4.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
 
-    /// What a srv can do now as a share of its full capacity, going by the slowest warming that the rules allow.
+    /// What a srv can do now as a share of its capacity, going by the slowest warming that the rules allow.
     fn warmth(&self, i: usize) -> f64 {
         let Some(born) = self.srvs.born[i] else { return 1.0 };
         let part = self.now.since(born).max(0.0) / self.terms.warm_after.secs().max(1e-3);
@@ -135,7 +135,7 @@
     }
 
     /// Sends a second that a cold srv may get from this gateway: half the rule's budget over what warm srvs
-    /// answer, which they can't do beyond their capacity. Own answers count only, so all gateways' parts add up.
+    /// answer, which is within their capacity. Own answers count only, so all gateways' parts add up.
     fn cold_rate(&self, i: usize) -> f64 {
         let warm: Vec<usize> = self.srvs.open().filter(|&j| self.warmth(j) >= 1.0).collect();
         let rate = warm.iter().map(|&j| self.srvs.passed[j] / 4.0).sum::<f64>() / warm.len().max(1) as f64;
@@ -151,8 +151,8 @@
         s.distrust[i]
     }
 
-    /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades. What
-    /// is out at a convicted srv is looked at again, whatever made it sick.
+    /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades;
+    /// what is out at a convicted srv is looked at again, whatever made it sick.
     fn evidence(&mut self, i: usize, weight: f64) {
         const CONVICTED: f64 = 6.9; // odds of 1000 to 1: some ten outcomes a second are tested on each srv
         self.distrust(i);
@@ -165,7 +165,7 @@
         }
     }
 
-    /// Each srv has credits by its pace, trust, warmth and recent fullness; a send spends one, an answer earns
+    /// Each srv has credits by pace, trust, warmth and recent fullness; a send spends one, an answer earns
     /// it back. The send goes where the largest part is left; home zone first where it is nearly equal.
     fn pick(&mut self, slot: usize) -> Option<usize> {
         let base = 1.5 * self.limit / self.srvs.open().count().max(1) as f64;
@@ -177,7 +177,7 @@
             }
             let s = &self.srvs;
             let credit = base * s.squeeze[i] * warm * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
-            // whole credits: a convicted srv gets nothing until half its distrust has faded, then one as a trial;
+            // whole credits: a convicted srv gets none until half its distrust has faded, then one as a trial;
             // a few credits at the least elsewhere, or spread in the work alone would leave srvs idle
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
@@ -218,7 +218,7 @@
             self.customers.push(Customer::new(n.plan, p.burst, others, self.now, self.began));
         }
         self.customers[c].spread = n.spread.max(1.0);
-        // A repeat still counts from its first try: time left that the client timeout cut tells when that was.
+        // A repeat counts from its first try: time left that the client timeout cut tells when that was.
         let most = &mut self.most_left[frontend];
         *most = most.max(n.left.secs());
         let cut = n.repeat && n.left.secs() < 0.99 * *most && f.late_value == 0.0;
@@ -334,7 +334,7 @@
         self.touched.push(slot);
     }
 
-    /// The usual time, but half the target at most: a slow spell must not stop the traffic that shows its end.
+    /// The usual time, half the target at most: a slow spell must not stop the traffic that shows its end.
     fn typical(&self, f: usize) -> f64 {
         self.usual[f].min(0.5 * self.terms.frontends[f].target.secs())
     }
@@ -494,7 +494,7 @@
         self.touched.push(slot);
     }
 
-    /// The customer's store as far as this gateway knows: the last totals, what it filled, what went out here.
+    /// The customer's store as far as is known here: the last totals, what filled, what went out here.
     fn room(&mut self, c: usize) -> f64 {
         // a crowded counter is asked less: of what fills, the others are taken to use their share
         let gain = if self.silent { 1.0 } else { 1.0 - self.crowd * (1.0 - self.share(c)) };
@@ -514,7 +514,7 @@
     }
 
     /// What the store must hold to let units in without an answer: half of them over the own share. At all of
-    /// them the slices of all gateways never pass the store (DESIGN), but customers gathered on few starve. Most
+    /// them all gateways' slices never pass the store (DESIGN), but customers gathered on few starve. Most
     /// of the burst is enough in any case, else a calm store would be shut to one of many gateways.
     fn need(&self, c: usize, units: f64) -> f64 {
         let most = 0.7 * self.terms.plans[self.customers[c].plan].burst;
@@ -531,7 +531,7 @@
         const SILENT_AFTER: u32 = 3; // unanswered calls in a row: one or two happen on a crowded counter
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
-        // A crowded counter gets fewer calls: the more go unanswered, the emptier a store has to be before its
+        // A crowded counter gets fewer calls: the more unanswered, the emptier a store has to be before its
         // customer's reqs are judged there. One unanswered call weighs as much as 25 answered ones.
         self.crowd = (self.crowd + if answered { -0.002 } else { 0.05 }).clamp(0.0, 1.0);
         self.misses = if answered { 0 } else { self.misses + 1 };
@@ -659,7 +659,7 @@
     }
 
     /// A customer's adds: only names that its plan needs; corrections go with the next add where nobody waits
-    /// for them. Held leases go to the next name ahead of it; they stay in the old one, which nobody asks again.
+    /// for them. Held leases go to the next name ahead of it; they stay in the old one, not asked again.
     fn put_counts(&mut self, c: usize, acts: &mut Vec<Action>) {
         let (now, share) = (self.now.secs(), self.share(c));
         let cust = &mut self.customers[c];
@@ -672,9 +672,9 @@
         }
         let (q, l) = (&mut cust.quota, &mut cust.lease);
         let mut calls = Vec::new();
-        let overdue = q.owed > 0.0 && self.now.since(q.called) > 1.0; // let in without a call
-                                                                      // after a silence only what the store still lacks is told: the rest has filled up again, and all at
-                                                                      // once from each gateway it would shut the customer out for as long as the silence was
+        // after a silence only what the store still lacks is told: the rest has filled up again, and told
+        // all at once by each gateway it would shut the customer out for as long as the silence was
+        let overdue = q.owed > 0.0 && self.now.since(q.called) > 1.0;
         let stale = q.seen.is_none_or(|s| self.now.since(s) > ROLL);
         let lack = q.joins.iter().map(|j| j.2).sum::<f64>() + share * (p.burst - cust.run).max(0.0);
         if p.rate > 0.0 && (!q.joins.is_empty() || q.urgent || self.silent || overdue) {
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -1,6 +1,6 @@
 //! Plays the scenarios in `tests/scenarios`. A line `@T EVENT ...` plays timers up to T, then the event at T;
 //! `> TEXT` wants an action since that line that begins so, `! TEXT` none, `= N TEXT` just N.
-//! Events: `list KIND srv[,key=value..] ..`, `req ID key=value ..`, `total X` (answers the oldest counter call),
+//! Events: `list KIND srv[,key=value..] ..`, `req ID key=value ..`, `total X` (to the oldest counter call),
 //! `silence` / `refuse` (all calls), `passed`/`error`/`full`/`lost`/`reset` ID/NTH key=value .., `wait`.
 
 use lupinledge::control::Control;
