--- a/src/control.rs
+++ b/src/control.rs
@@ -177,7 +177,7 @@
             }
             let s = &self.srvs;
             let credit = base * s.squeeze[i] * warm * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
-            // whole credits: a convicted srv gets none until half its distrust has faded, then one as a trial;
+            // whole credits: a convicted srv gets none until half its distrust faded, then one as a trial;
             // a few credits at the least elsewhere, or spread in the work alone would leave srvs idle
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
