Trials of a silent counter: a hundred a second over all gateways

Cause: with 225 gateways a call each 200 ms from each was 1100 calls a second at a counter of some 500: it never came back.

--- a/src/control.rs
+++ b/src/control.rs
@@ -527,6 +527,13 @@
         held + self.customers[c].lease.others <= self.terms.plans[self.customers[c].plan].at_once as f64 + 0.5
     }
 
+    /// While the counter is silent, one call each 200 ms: soon enough against two seconds of staleness. Over
+    /// all gateways a hundred a second at most, else the trials alone would keep a returning counter down.
+    fn trial(&mut self) -> Span {
+        let gap = (self.terms.gateways as f64 / 100.0).max(0.2);
+        Span::from_secs(gap * (0.75 + 0.5 * self.rng.f64()))
+    }
+
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
         const SILENT_AFTER: u32 = 3; // unanswered calls in a row: one or two happen on a crowded counter
         let Some(call) = self.calls.take(name) else { return };
@@ -536,7 +543,7 @@
         self.crowd = (self.crowd + if answered { -0.002 } else { 0.05 }).clamp(0.0, 1.0);
         self.misses = if answered { 0 } else { self.misses + 1 };
         if !std::mem::replace(&mut self.silent, self.misses >= SILENT_AFTER) {
-            self.trial_at = self.now + TRIAL;
+            self.trial_at = self.now + self.trial();
         }
         let added = answered || how == Outcome::TimedOut;
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
@@ -662,14 +669,15 @@
     /// for them. Held leases go to the next name ahead of it; they stay in the old one, not asked again.
     fn put_counts(&mut self, c: usize, acts: &mut Vec<Action>) {
         let (now, share) = (self.now.secs(), self.share(c));
-        let cust = &mut self.customers[c];
-        let p = &self.terms.plans[cust.plan];
+        let cust = &self.customers[c];
         if self.silent && cust.quota.joins.is_empty() && cust.lease.joins.is_empty() {
             if !self.terms.counter || self.now < self.trial_at {
                 return;
             }
-            self.trial_at = self.now + TRIAL;
+            self.trial_at = self.now + self.trial();
         }
+        let cust = &mut self.customers[c];
+        let p = &self.terms.plans[cust.plan];
         let (q, l) = (&mut cust.quota, &mut cust.lease);
         let mut calls = Vec::new();
         // after a silence only what the store still lacks is told: the rest has filled up again, and told
@@ -713,5 +721,4 @@
 const WINDOW: f64 = 30.0; // half a name's longest life: rolling, which forgets others' last use, is rare
 const ROLL: f64 = 2.0; // DESIGN: in-flight names roll every two seconds; totals older than that are stale
 const LEAD: f64 = 0.1; // leases go to the next name this long ahead: several counter round trips
-const TRIAL: Span = Span::millis(200); // while silent, one call: soon enough against two seconds of staleness
 const SHARE_MEMORY: f64 = 8.0; // seconds of own and total use: the spread of a customer moves within some
