--- a/src/control.rs
+++ b/src/control.rs
@@ -52,7 +52,7 @@
         }
         if now.secs() % ROLL > ROLL - LEAD {
             let all = &self.customers;
-            self.dirty.extend((0..all.len()).filter(|&c| all[c].held > 0.0));
+            self.dirty.extend((0..all.len()).filter(|&c| all[c].leased > 0.0));
         }
         while let Some(&Reverse((_, slot))) = self.wakes.peek().filter(|w| w.0 .0 <= now) {
             self.wakes.pop();
@@ -235,24 +235,32 @@
         let need = if self.silent { self.need(c, n.units) } else { n.units };
         let no_units = rated && self.room(c) < need;
         let (cust, crowd) = (&self.customers[c], self.crowd);
+        let keep = (1.0 - crowd).max(0.05);
         let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
         // a total so fresh that no lease elsewhere will have come back
         let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
         let no_lease = full || self.silent && !self.lease_alone(c, cust.held + 1.0);
         // who is asked: each name of the plan, unless the counter is silent, or so crowded that it is spared
-        // where much is left
-        let ask_quota = rated && !self.silent && cust.run < (1.0 - crowd) * burst + n.units;
+        // where a fresh total left much; else by chance, and what is then told stands for those not asked
+        let recent = cust.quota.seen.is_some_and(|s| self.now.since(s) < ROLL);
+        let much = recent && cust.run >= (1.0 - crowd) * burst + n.units;
+        let asks = !self.silent && self.rng.f64() < keep;
+        let ask_quota = rated && asks && !much;
         let spare = age < ROLL && cust.lease.total.max(cust.held) < crowd * cap;
-        let ask_lease = cap > 0.0 && !self.silent && !spare;
+        let ask_lease = cap > 0.0 && asks && !spare;
+        let charge = if ask_quota { n.units / keep } else if much || self.silent { n.units } else { 0.0 };
         if past || hopeless || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
-        let share = if ask_quota { 1.0 } else { self.share(c) };
+        let share = if self.silent { self.share(c) } else { 1.0 };
         let cust = &mut self.customers[c];
+        let leased = ask_lease || spare || self.silent;
         cust.held += 1.0;
-        (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + n.units);
-        cust.quota.joins.extend(Some((slot, n.id, n.units)).filter(|_| ask_quota));
+        cust.leased += leased as u8 as f64;
+        (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
+        cust.quota.joins.extend(Some((slot, n.id, charge)).filter(|_| ask_quota));
         cust.lease.joins.extend(Some((slot, n.id, n.units)).filter(|_| ask_lease));
+        self.reqs.at_mut(slot).into_iter().for_each(|r| (r.charge, r.leased) = (charge, leased));
         self.dirty.push(c);
         match (ask_quota as u8 + ask_lease as u8, self.reqs.at_mut(slot)) {
             (0, _) | (_, None) => self.admit(slot),
@@ -324,7 +332,8 @@
         }
         let Some(r) = self.reqs.at_mut(slot) else { return };
         if r.stage == Stage::Out {
-            self.customers[r.customer].held += 1.0; // the first dispatch has the lease of the queue
+            let cust = &mut self.customers[r.customer]; // the first dispatch has the lease of the queue
+            (cust.held, cust.leased) = (cust.held + 1.0, cust.leased + r.leased as u8 as f64);
             self.dirty.push(r.customer);
         }
         r.stage = Stage::Out;
@@ -408,12 +417,14 @@
     fn ended(&mut self, e: Ended) {
         let Some((slot, r)) = self.reqs.of(e.id) else { return };
         let (f, c, units, over) = (r.frontend, r.customer, r.units, r.stage == Stage::Over);
+        let (leased, told) = (r.leased as u8 as f64, r.charge / units.max(1e-9));
         let Some(t) = r.tries.get_mut(e.nth as usize).filter(|t| t.running) else { return };
         t.running = false;
         t.ran = !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
         let (srv, was_late, sent) = (t.srv, t.overdue, t.sent);
         (self.srvs.out[srv], self.out) = (self.srvs.out[srv] - 1, self.out - 1);
-        self.customers[c].held -= 1.0;
+        (self.customers[c].held, self.customers[c].leased) =
+            (self.customers[c].held - 1.0, self.customers[c].leased - leased);
         self.dirty.push(c);
         // the pool hears of answers, and of what was not answered in time with nobody to blame
         let took = e.took.secs();
@@ -433,7 +444,7 @@
                 }
                 let cust = &mut self.customers[c];
                 if self.terms.settles && e.billed > 0.0 && self.terms.plans[cust.plan].rate > 0.0 {
-                    cust.quota.owed += e.billed - units;
+                    cust.quota.owed += (e.billed - units) * told;
                     cust.run -= e.billed - units;
                 }
             }
@@ -479,7 +490,8 @@
         let Some(r) = self.reqs.at(slot).filter(charged) else { return };
         let cust = &mut self.customers[r.customer];
         (cust.held, cust.run) = (cust.held - 1.0, cust.run + r.units);
-        cust.quota.owed -= r.units;
+        cust.leased -= r.leased as u8 as f64;
+        cust.quota.owed -= r.charge;
         cust.quota.urgent |= urgent;
         self.dirty.push(r.customer);
     }
@@ -540,7 +552,7 @@
         let (c, answered) = (call.customer, how == Outcome::Passed);
         // A crowded counter gets fewer calls: the more unanswered, the emptier a store has to be before its
         // customer's reqs are judged there. One unanswered call weighs as much as 25 answered ones.
-        self.crowd = (self.crowd + if answered { -0.002 } else { 0.05 }).clamp(0.0, 1.0);
+        self.crowd = if answered { (self.crowd - 0.004).max(0.0) } else { 0.9 * self.crowd + 0.1 };
         self.misses = if answered { 0 } else { self.misses + 1 };
         if !std::mem::replace(&mut self.silent, self.misses >= SILENT_AFTER) {
             self.trial_at = self.now + self.trial();
@@ -552,14 +564,15 @@
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
             let Some(r) = self.reqs.at_mut(slot).filter(judged) else { continue };
             r.verdicts -= 1;
-            let left = r.verdicts;
+            let (left, more) = (r.verdicts, if call.lease { 0.0 } else { r.charge - r.units });
+            let own = r.units;
             let fits = match (answered, call.lease) {
-                (true, _) => over <= 1e-3,
+                (true, _) => over <= more + 1e-3,
                 (_, true) => self.lease_alone(c, self.customers[c].held),
-                _ => self.room(c) + units >= self.need(c, units),
+                _ => self.room(c) + own >= self.need(c, own),
             };
             // the own use is off `run` already; what the others use meanwhile goes off too
-            let others = if answered || call.lease { 0.0 } else { units / self.share(c) - units };
+            let others = if answered || call.lease { 0.0 } else { own / self.share(c) - own };
             self.customers[c].run -= if fits { others } else { 0.0 };
             over -= if fits {
                 0.0
@@ -696,9 +709,9 @@
                 l.put = if l.epoch + 1 == epoch { l.put_next } else { 0.0 };
                 (l.put_next, l.flying, l.total, l.epoch) = (0.0, 0.0, l.put, epoch);
             }
-            let (diff, ahead) = (cust.held - l.put, cust.held - l.put_next);
+            let (diff, ahead) = (cust.leased - l.put, cust.leased - l.put_next);
             let lazy =
-                l.total.max(cust.held) < self.crowd * p.at_once as f64 && self.now.since(l.called) < 0.5;
+                l.total.max(cust.leased) < self.crowd * p.at_once as f64 && self.now.since(l.called) < 0.5;
             if !l.joins.is_empty() || diff != 0.0 && !lazy {
                 (l.put, l.flying, l.called) = (l.put + diff, l.flying + diff, self.now);
                 calls.push((true, epoch, diff, std::mem::take(&mut l.joins)));
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -101,6 +101,9 @@
     pub frontend: usize,
     pub customer: usize,
     pub units: f64,
+    /// Units told to the counter for it; more than its own where it stands for others that are not.
+    pub charge: f64,
+    pub leased: bool,
     pub ends: Point,
     pub target: Point,
     pub stage: Stage,
@@ -145,6 +148,8 @@
     pub own: f64,
     pub all: f64,
     pub held: f64,
+    /// Those of them that the counter knows or is to know.
+    pub leased: f64,
     pub ceiling: f64,
     pub ceiling_at: Point,
     pub queue: VecDeque<usize>,
