--- a/benchlink/src/terms.rs
+++ b/benchlink/src/terms.rs
@@ -89,6 +89,8 @@
         count_wait: fam.span("countWait")?,
         largest: fam.num("largest")?,
         settles: fam.flag("costAfter")?,
+        peers: limits.flag("peers")?,
+        peer_intake: fam.num("peerIntake")?,
         ask_list: top.word("discovery")? == "on_request",
         max_dispatches: limits.num("maxAttempts")? as u32,
         may_duplicate: limits.flag("mayDuplicate")?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -42,7 +42,8 @@
                 Event::Left { id } => self.close(id),
                 Event::Counted { name, total, how } => self.counted(name, total, how),
                 Event::Timer { .. } => self.armed = None,
-                Event::Probed { .. } | Event::Peer { .. } => {}
+                Event::Peer { body, .. } => self.heard(&body),
+                Event::Probed { .. } => {}
             }
         }
         if now >= self.second_at {
@@ -558,8 +559,13 @@
             self.trial_at = self.now + self.trial();
         }
         let added = answered || how == Outcome::TimedOut;
+        let lease = call.lease;
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
+        let stale = self.customers[c].heard.is_none_or(|h| self.now.since(h) > 0.5);
+        if answered && over > 0.0 && stale && !self.news.contains(&(c, lease)) {
+            self.news.push((c, lease));
+        }
         for &(slot, id, units) in call.joins.iter().rev() {
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
             let Some(r) = self.reqs.at_mut(slot).filter(judged) else { continue };
@@ -639,6 +645,48 @@
         (total - p.at_once as f64).max(0.0)
     }
 
+    /// What a total told of a customer past its quota or cap goes to the peers, who may meet it long before
+    /// their own next total. All gateways together stay within what one takes in.
+    fn tell(&mut self, acts: &mut Vec<Action>) {
+        if !self.terms.peers || self.news.is_empty() || self.now < self.tell_at {
+            return;
+        }
+        let mut body = Vec::new();
+        for (c, lease) in std::mem::take(&mut self.news).into_iter().take(25) {
+            let left = self.room(c);
+            let cust = &self.customers[c];
+            let figure = if lease { cust.lease.others + cust.leased } else { left };
+            body.extend(&self.door.id(c).to_le_bytes()[..5]);
+            body.push((cust.plan as u8) << 1 | lease as u8);
+            body.extend((figure as f32).to_le_bytes());
+        }
+        self.tell_at = self.now.later(self.terms.gateways as f64 / (0.7 * self.terms.peer_intake).max(1e-3));
+        acts.push(Action::Tell { to: None, body });
+    }
+
+    fn heard(&mut self, body: &[u8]) {
+        for row in body.chunks_exact(10) {
+            let id = u64::from_le_bytes([row[0], row[1], row[2], row[3], row[4], 0, 0, 0]);
+            let (plan, figure) = ((row[5] >> 1) as usize, f32::from_le_bytes([row[6], row[7], row[8], row[9]]));
+            if plan >= self.terms.plans.len() || !figure.is_finite() {
+                continue;
+            }
+            let (c, new) = self.door.enter(id);
+            if new {
+                let burst = self.terms.plans[plan].burst;
+                self.customers.push(Customer::new(plan, burst, 0.0, self.now, self.began));
+                self.customers[c].spread = self.terms.gateways.max(1) as f64;
+            }
+            let cust = &mut self.customers[c];
+            cust.heard = Some(self.now);
+            if row[5] & 1 == 1 {
+                cust.lease.others = (figure as f64 - cust.leased).max(0.0);
+            } else {
+                (cust.run, cust.run_at) = (figure as f64, self.now);
+            }
+        }
+    }
+
     /// The one place that acts: compares what is wanted with what is there and emits the difference.
     fn settle(&mut self, acts: &mut Vec<Action>) {
         acts.extend(std::mem::take(&mut self.asks).then_some(Action::Watch { on: true }));
@@ -669,6 +717,7 @@
                 self.reqs.drop(id);
             }
         }
+        self.tell(acts);
         std::mem::take(&mut self.dirty).into_iter().for_each(|c| self.put_counts(c, acts));
         let next = self.wakes.peek().map_or(self.second_at, |Reverse(w)| w.0.min(self.second_at));
         let next = next.max(self.now + Span::millis(1));
--- a/src/link.rs
+++ b/src/link.rs
@@ -53,6 +53,8 @@
     pub count_wait: Span,
     pub largest: f64,
     pub settles: bool,
+    pub peers: bool,
+    pub peer_intake: f64,
     pub ask_list: bool,
     pub max_dispatches: u32,
     pub may_duplicate: bool,
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -152,6 +152,8 @@
     pub leased: f64,
     pub ceiling: f64,
     pub ceiling_at: Point,
+    /// When a peer last told of it.
+    pub heard: Option<Point>,
     pub queue: VecDeque<usize>,
     pub deficit: f64,
 }
@@ -274,6 +276,9 @@
     pub(crate) silent: bool,
     pub(crate) crowd: f64,
     pub(crate) trial_at: Point,
+    /// Customers past a quota (or, true, a cap) that peers are yet to hear of.
+    pub(crate) news: Vec<(usize, bool)>,
+    pub(crate) tell_at: Point,
     pub(crate) limit: f64,
     pub(crate) cut: bool,
     pub(crate) out: u32,
