--- a/src/control.rs
+++ b/src/control.rs
@@ -245,12 +245,13 @@
         // where a fresh total left much; else by chance, and what is then told stands for those not asked
         let recent = cust.quota.seen.is_some_and(|s| self.now.since(s) < ROLL);
         let much = recent && cust.run >= (1.0 - crowd) * burst + n.units;
+        let through = crowd < 0.1 || self.rng.f64() < cust.admit;
         let asks = !self.silent && self.rng.f64() < keep;
         let ask_quota = rated && asks && !much;
         let spare = age < ROLL && cust.lease.total.max(cust.held) < crowd * cap;
         let ask_lease = cap > 0.0 && asks && !spare;
         let charge = if ask_quota { n.units / keep } else if much || self.silent { n.units } else { 0.0 };
-        if past || hopeless || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
+        if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
         let share = if self.silent { self.share(c) } else { 1.0 };
@@ -562,9 +563,8 @@
         let lease = call.lease;
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
-        let stale = self.customers[c].heard.is_none_or(|h| self.now.since(h) > 0.5);
-        if answered && over > 0.0 && stale && !self.news.contains(&(c, lease)) {
-            self.news.push((c, lease));
+        if answered {
+            self.steer(c, lease, over);
         }
         for &(slot, id, units) in call.joins.iter().rev() {
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
@@ -645,45 +645,46 @@
         (total - p.at_once as f64).max(0.0)
     }
 
-    /// What a total told of a customer past its quota or cap goes to the peers, who may meet it long before
-    /// their own next total. All gateways together stay within what one takes in.
+    /// The part of a customer's reqs that is let through while the counter is crowded: cut when a total is
+    /// past its quota or cap, raised when much is left. Peers are told, who may meet the customer long
+    /// before their own next total; all gateways together stay within what one takes in.
+    fn steer(&mut self, c: usize, lease: bool, over: f64) {
+        let (now, cust) = (self.now, &mut self.customers[c]);
+        let p = &self.terms.plans[cust.plan];
+        let much = if lease { cust.lease.total < p.at_once as f64 } else { cust.level > 0.5 * p.burst };
+        let by = if over > 1e-3 { 0.7 } else if much && cust.admit < 1.0 { 1.2 } else { 1.0 };
+        if by == 1.0 || cust.steered.is_some_and(|s| now.since(s) < 0.3) {
+            return;
+        }
+        (cust.admit, cust.steered) = ((cust.admit * by).clamp(0.02, 1.0), Some(now));
+        self.news.extend(Some(c).filter(|c| self.terms.peers && !self.news.contains(c)));
+    }
+
     fn tell(&mut self, acts: &mut Vec<Action>) {
-        if !self.terms.peers || self.news.is_empty() || self.now < self.tell_at {
+        if self.news.is_empty() || self.now < self.tell_at {
             return;
         }
         let mut body = Vec::new();
-        for (c, lease) in std::mem::take(&mut self.news).into_iter().take(25) {
-            let left = self.room(c);
+        for c in std::mem::take(&mut self.news).into_iter().take(32) {
             let cust = &self.customers[c];
-            let figure = if lease { cust.lease.others + cust.leased } else { left };
             body.extend(&self.door.id(c).to_le_bytes()[..5]);
-            body.push((cust.plan as u8) << 1 | lease as u8);
-            body.extend((figure as f32).to_le_bytes());
+            body.extend([cust.plan as u8, (cust.admit * 255.0) as u8]);
         }
         self.tell_at = self.now.later(self.terms.gateways as f64 / (0.7 * self.terms.peer_intake).max(1e-3));
         acts.push(Action::Tell { to: None, body });
     }
 
     fn heard(&mut self, body: &[u8]) {
-        for row in body.chunks_exact(10) {
+        for row in body.chunks_exact(7).filter(|row| (row[5] as usize) < self.terms.plans.len()) {
             let id = u64::from_le_bytes([row[0], row[1], row[2], row[3], row[4], 0, 0, 0]);
-            let (plan, figure) = ((row[5] >> 1) as usize, f32::from_le_bytes([row[6], row[7], row[8], row[9]]));
-            if plan >= self.terms.plans.len() || !figure.is_finite() {
-                continue;
-            }
-            let (c, new) = self.door.enter(id);
+            let (plan, (c, new)) = (row[5] as usize, self.door.enter(id));
             if new {
                 let burst = self.terms.plans[plan].burst;
                 self.customers.push(Customer::new(plan, burst, 0.0, self.now, self.began));
                 self.customers[c].spread = self.terms.gateways.max(1) as f64;
             }
             let cust = &mut self.customers[c];
-            cust.heard = Some(self.now);
-            if row[5] & 1 == 1 {
-                cust.lease.others = (figure as f64 - cust.leased).max(0.0);
-            } else {
-                (cust.run, cust.run_at) = (figure as f64, self.now);
-            }
+            (cust.admit, cust.steered) = (row[6] as f64 / 255.0, Some(self.now));
         }
     }
 
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -152,8 +152,9 @@
     pub leased: f64,
     pub ceiling: f64,
     pub ceiling_at: Point,
-    /// When a peer last told of it.
-    pub heard: Option<Point>,
+    /// The part of its reqs let through while the counter is crowded, and when that was last moved.
+    pub admit: f64,
+    pub steered: Option<Point>,
     pub queue: VecDeque<usize>,
     pub deficit: f64,
 }
@@ -172,6 +173,7 @@
             level_at: now,
             run: burst,
             run_at: now,
+            admit: 1.0,
             ceiling_at: began,
             lease: Account { others, ..Account::default() },
             ..Customer::default()
@@ -276,8 +278,8 @@
     pub(crate) silent: bool,
     pub(crate) crowd: f64,
     pub(crate) trial_at: Point,
-    /// Customers past a quota (or, true, a cap) that peers are yet to hear of.
-    pub(crate) news: Vec<(usize, bool)>,
+    /// Customers whose part let through peers are yet to hear of.
+    pub(crate) news: Vec<usize>,
     pub(crate) tell_at: Point,
     pub(crate) limit: f64,
     pub(crate) cut: bool,
