A total long after the last one is read as steady use

Cause: a gateway that meets a customer once in 20 s read its total as use right after a full store, and found it overdrawn by some bursts.

--- a/src/control.rs
+++ b/src/control.rs
@@ -619,7 +619,9 @@
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
         let all = cust.level + p.rate * since;
         let (least, most) = (all.min(p.burst) - delta, (all - delta + call.units).min(p.burst) - call.units);
-        cust.level = most + (least - most) * p.overrun_cost / (1.0 + p.overrun_cost);
+        // over more than the time in which the store fills, unsteady use evens out
+        let even = (-since * p.rate / p.burst.max(1e-3)).exp();
+        cust.level = most + (least - most) * even * p.overrun_cost / (1.0 + p.overrun_cost);
         (cust.level_at, cust.run_at, cust.run) = (self.now, self.now, cust.level - q.flying - q.owed);
         let keep = (-since / SHARE_MEMORY).exp();
         cust.own = cust.own * keep + call.amount.max(0.0);
