Attempt: room for chance use beside the pool limit, ten samples waited for, pick by chance

Waiting for ten samples takes 6 s at two answers a second, too late for a cut, and the room adds up over all gateways when all are pressed.

--- a/src/control.rs
+++ b/src/control.rs
@@ -71,12 +71,26 @@
     /// sick srvs say nothing of the room in the others. Until the first cut the climb is faster: a fresh
     /// gateway lags warm srvs. Places that nobody used don't raise the limit and don't dull a cut.
     fn second(&mut self) {
-        let ready = self.srvs.open().count().max(1) as f64;
-        let (mut late, mut seen) = (false, self.full as usize);
+        let seen: usize = self.full as usize + self.samples.iter().map(Vec::len).sum::<usize>();
+        // the source: too few samples, no move. One of many gateways waits until it has enough
+        if seen >= 10 {
+            self.decide(seen as f64);
+        }
+        for i in 0..self.srvs.ready.len() {
+            let rate = self.cold_rate(i);
+            let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
+            let s = &mut self.srvs;
+            s.tokens[i] = (s.tokens[i] + rate).min(most);
+            s.passed[i] *= 0.75;
+            s.squeeze[i] = (s.squeeze[i] * 1.2).min(1.0);
+        }
+    }
+
+    fn decide(&mut self, seen: f64) {
+        let mut late = false;
         for (f, s) in self.samples.iter_mut().enumerate() {
-            seen += s.len();
-            // the source: too few samples, no move. The 95th percentile is past the target when more than
-            // 5% are; one standard deviation on top, else few samples cut the limit for one long req
+            // the 95th percentile is past the target when more than 5% are; one standard deviation on top,
+            // else few samples cut the limit for one long req
             if s.len() >= 10 {
                 s.sort_by(f64::total_cmp);
                 let (n, target) = (s.len() as f64, self.terms.frontends[f].target.secs());
@@ -85,21 +99,21 @@
             }
             s.clear();
         }
-        if late || self.full as f64 > 0.1 * seen as f64 {
+        let (start, passed) = (self.start(), self.now.since(self.decided).min(5.0));
+        if late || self.full as f64 > 0.1 * seen {
             (self.limit, self.cut) = (self.limit.min(self.peak) * 0.7, true);
-        } else if seen >= 10 && self.peak > 0.5 * self.limit {
-            self.limit += if self.cut { 1.0 } else { ready / 4.0 };
+        } else if self.peak > 0.5 * self.limit {
+            // as shares of the start: the steps of all gateways together are the same, whatever their number
+            self.limit += passed * start * if self.cut { 0.08 } else { 0.2 };
         }
         // never under about one req a core, where chance alone would keep srvs idle
-        (self.limit, self.full, self.peak) = (self.limit.max(0.6 * self.start()), 0, self.out as f64);
-        for i in 0..self.srvs.ready.len() {
-            let rate = self.cold_rate(i);
-            let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
-            let s = &mut self.srvs;
-            s.tokens[i] = (s.tokens[i] + rate).min(most);
-            s.passed[i] *= 0.75;
-            s.squeeze[i] = (s.squeeze[i] * 1.2).min(1.0);
-        }
+        (self.limit, self.full, self.peak) = (self.limit.max(0.6 * start), 0, self.out as f64);
+        self.decided = self.now;
+    }
+
+    /// Places of this gateway. Of a small part the use varies much, which evens out over many gateways.
+    fn places(&self) -> f64 {
+        self.limit + 2.0 * (self.limit * (1.0 - 1.0 / self.terms.gateways.max(1) as f64)).sqrt()
     }
 
     /// Follows the list; the pool limit keeps its figure per ready srv when the fleet shrinks or grows.
@@ -183,7 +197,9 @@
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
-            let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
+            // a pace known from few answers is little known: of many gateways each would have its favourites
+            let doubt = 0.02 + 0.5 / (1.0 + s.passed[i]);
+            let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + doubt * self.rng.f64());
             if left && best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
             }
@@ -231,7 +247,7 @@
         let (rated, cap, burst) = (p.rate > 0.0, p.at_once as f64, p.burst);
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
-        let hopeless = self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit);
+        let hopeless = self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit).max(2.0);
         let past = cut && target < self.now.later(self.typical(frontend));
         let need = if self.silent { self.need(c, n.units) } else { n.units };
         let no_units = rated && self.room(c) < need;
@@ -310,7 +326,7 @@
                 self.waiting -= 1;
                 continue;
             }
-            let free = (self.out as f64) < self.limit;
+            let free = (self.out as f64) < self.places();
             let Some(srv) = Some(slot).filter(|_| free).and_then(|s| self.pick(s)) else { break };
             let cust = &mut self.customers[c];
             let p = &self.terms.plans[cust.plan];
@@ -400,7 +416,7 @@
         }
         // second copies only while the pool has room: where all is late, more load helps nobody
         let copy = sick && running < 2 && self.copies >= 1.0 && self.ring.is_empty();
-        if running > 0 && !(copy && self.now < give_up && (self.out as f64) < self.limit) {
+        if running > 0 && !(copy && self.now < give_up && (self.out as f64) < self.places()) {
             return;
         }
         match self.pick(slot).filter(|_| self.now < give_up) {
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -283,6 +283,7 @@
     pub(crate) tell_at: Point,
     pub(crate) limit: f64,
     pub(crate) cut: bool,
+    pub(crate) decided: Point,
     pub(crate) out: u32,
     /// The most that were out in this second.
     pub(crate) peak: f64,
