--- a/src/control.rs
+++ b/src/control.rs
@@ -111,11 +111,6 @@
         self.decided = self.now;
     }
 
-    /// Places of this gateway. Of a small part the use varies much, which evens out over many gateways.
-    fn places(&self) -> f64 {
-        self.limit + 2.0 * (self.limit * (1.0 - 1.0 / self.terms.gateways.max(1) as f64)).sqrt()
-    }
-
     /// Follows the list; the pool limit keeps its figure per ready srv when the fleet shrinks or grows.
     fn list(&mut self, kind: ListKind, rows: &[SrvRow]) {
         self.asks |= kind == ListKind::Failed && self.terms.ask_list;
@@ -197,9 +192,7 @@
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
-            // a pace known from few answers is little known: of many gateways each would have its favourites
-            let doubt = 0.02 + 0.5 / (1.0 + s.passed[i]);
-            let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + doubt * self.rng.f64());
+            let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
             if left && best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
             }
@@ -247,7 +240,8 @@
         let (rated, cap, burst) = (p.rate > 0.0, p.at_once as f64, p.burst);
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
-        let hopeless = self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit).max(2.0);
+        let hopeless =
+            self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit).max(2.0);
         let past = cut && target < self.now.later(self.typical(frontend));
         let need = if self.silent { self.need(c, n.units) } else { n.units };
         let no_units = rated && self.room(c) < need;
@@ -266,7 +260,13 @@
         let ask_quota = rated && asks && !much;
         let spare = age < ROLL && cust.lease.total.max(cust.held) < crowd * cap;
         let ask_lease = cap > 0.0 && asks && !spare;
-        let charge = if ask_quota { n.units / keep } else if much || self.silent { n.units } else { 0.0 };
+        let charge = if ask_quota {
+            n.units / keep
+        } else if much || self.silent {
+            n.units
+        } else {
+            0.0
+        };
         if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
@@ -326,7 +326,7 @@
                 self.waiting -= 1;
                 continue;
             }
-            let free = (self.out as f64) < self.places();
+            let free = (self.out as f64) < self.limit;
             let Some(srv) = Some(slot).filter(|_| free).and_then(|s| self.pick(s)) else { break };
             let cust = &mut self.customers[c];
             let p = &self.terms.plans[cust.plan];
@@ -416,7 +416,7 @@
         }
         // second copies only while the pool has room: where all is late, more load helps nobody
         let copy = sick && running < 2 && self.copies >= 1.0 && self.ring.is_empty();
-        if running > 0 && !(copy && self.now < give_up && (self.out as f64) < self.places()) {
+        if running > 0 && !(copy && self.now < give_up && (self.out as f64) < self.limit) {
             return;
         }
         match self.pick(slot).filter(|_| self.now < give_up) {
@@ -670,7 +670,13 @@
         let (now, cust) = (self.now, &mut self.customers[c]);
         let p = &self.terms.plans[cust.plan];
         let much = if lease { cust.lease.total < p.at_once as f64 } else { cust.level > 0.5 * p.burst };
-        let by = if over > 1e-3 { 0.7 } else if much && cust.admit < 1.0 { 1.2 } else { 1.0 };
+        let by = if over > 1e-3 {
+            0.7
+        } else if much && cust.admit < 1.0 {
+            1.2
+        } else {
+            1.0
+        };
         if by == 1.0 || cust.steered.is_some_and(|s| now.since(s) < 0.3) {
             return;
         }
