The climb of the pool limit is the whole pool's, divided by the gateways

Cause: the source adds one to one authority's limit; 247 gateways adding one each flooded the fleet.

--- a/src/control.rs
+++ b/src/control.rs
@@ -104,7 +104,8 @@
             (self.limit, self.cut) = (self.limit.min(self.peak) * 0.7, true);
         } else if self.peak > 0.5 * self.limit {
             // as shares of the start: the steps of all gateways together are the same, whatever their number
-            self.limit += passed * start * if self.cut { 0.08 } else { 0.2 };
+            let all = self.terms.gateways.max(1) as f64;
+            self.limit += passed * if self.cut { 4.0 } else { self.srvs.open().count() as f64 / 4.0 } / all;
         }
         // never under about one req a core, where chance alone would keep srvs idle
         (self.limit, self.full, self.peak) = (self.limit.max(0.6 * start), 0, self.out as f64);
