--- a/src/control.rs
+++ b/src/control.rs
@@ -247,7 +247,8 @@
         let need = if self.silent { self.need(c, n.units) } else { n.units };
         let no_units = rated && self.room(c) < need;
         let (cust, crowd) = (&self.customers[c], self.crowd);
-        let keep = (1.0 - crowd).max(0.05);
+        // those known to be near their quota or cap are asked for before the calm
+        let keep = if cust.admit < 1.0 { 1.0 - crowd * crowd } else { (1.0 - crowd) * (1.0 - crowd) }.max(0.05);
         let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
         // a total so fresh that no lease elsewhere will have come back
         let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
@@ -770,7 +771,7 @@
         let mut calls = Vec::new();
         // after a silence only what the store still lacks is told: the rest has filled up again, and told
         // all at once by each gateway it would shut the customer out for as long as the silence was
-        let overdue = q.owed > 0.0 && self.now.since(q.called) > 1.0;
+        let overdue = q.owed > 0.5 * self.crowd * p.burst && self.now.since(q.called) > 1.0;
         let stale = q.seen.is_none_or(|s| self.now.since(s) > ROLL);
         let lack = q.joins.iter().map(|j| j.2).sum::<f64>() + share * (p.burst - cust.run).max(0.0);
         if p.rate > 0.0 && (!q.joins.is_empty() || q.urgent || self.silent || overdue) {
