--- a/src/control.rs
+++ b/src/control.rs
@@ -53,7 +53,7 @@
         }
         if now.secs() % ROLL > ROLL - LEAD {
             let all = &self.customers;
-            self.dirty.extend((0..all.len()).filter(|&c| all[c].leased > 0.0));
+            self.dirty.extend((0..all.len()).filter(|&c| all[c].leased > 1e-6));
         }
         while let Some(&Reverse((_, slot))) = self.wakes.peek().filter(|w| w.0 .0 <= now) {
             self.wakes.pop();
@@ -274,12 +274,12 @@
         }
         let share = if self.silent { self.share(c) } else { 1.0 };
         let cust = &mut self.customers[c];
-        let leased = ask_lease || spare || self.silent;
+        let leased = if ask_lease { 1.0 / keep } else { (spare || self.silent) as u8 as f64 };
         cust.held += 1.0;
-        cust.leased += leased as u8 as f64;
+        cust.leased += leased;
         (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
         cust.quota.joins.extend(Some((slot, n.id, charge)).filter(|_| ask_quota));
-        cust.lease.joins.extend(Some((slot, n.id, n.units)).filter(|_| ask_lease));
+        cust.lease.joins.extend(Some((slot, n.id, leased)).filter(|_| ask_lease));
         self.reqs.at_mut(slot).into_iter().for_each(|r| (r.charge, r.leased) = (charge, leased));
         self.dirty.push(c);
         match (ask_quota as u8 + ask_lease as u8, self.reqs.at_mut(slot)) {
@@ -353,7 +353,7 @@
         let Some(r) = self.reqs.at_mut(slot) else { return };
         if r.stage == Stage::Out {
             let cust = &mut self.customers[r.customer]; // the first dispatch has the lease of the queue
-            (cust.held, cust.leased) = (cust.held + 1.0, cust.leased + r.leased as u8 as f64);
+            (cust.held, cust.leased) = (cust.held + 1.0, cust.leased + r.leased);
             self.dirty.push(r.customer);
         }
         r.stage = Stage::Out;
@@ -437,7 +437,7 @@
     fn ended(&mut self, e: Ended) {
         let Some((slot, r)) = self.reqs.of(e.id) else { return };
         let (f, c, units, over) = (r.frontend, r.customer, r.units, r.stage == Stage::Over);
-        let (leased, told) = (r.leased as u8 as f64, r.charge / units.max(1e-9));
+        let (leased, told) = (r.leased, r.charge / units.max(1e-9));
         let Some(t) = r.tries.get_mut(e.nth as usize).filter(|t| t.running) else { return };
         t.running = false;
         t.ran = !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
@@ -510,7 +510,7 @@
         let Some(r) = self.reqs.at(slot).filter(charged) else { return };
         let cust = &mut self.customers[r.customer];
         (cust.held, cust.run) = (cust.held - 1.0, cust.run + r.units);
-        cust.leased -= r.leased as u8 as f64;
+        cust.leased -= r.leased;
         cust.quota.owed -= r.charge;
         cust.quota.urgent |= urgent;
         self.dirty.push(r.customer);
@@ -588,7 +588,7 @@
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
             let Some(r) = self.reqs.at_mut(slot).filter(judged) else { continue };
             r.verdicts -= 1;
-            let (left, more) = (r.verdicts, if call.lease { 0.0 } else { r.charge - r.units });
+            let (left, more) = (r.verdicts, if call.lease { r.leased - 1.0 } else { r.charge - r.units });
             let own = r.units;
             let fits = match (answered, call.lease) {
                 (true, _) => over <= more + 1e-3,
@@ -598,13 +598,7 @@
             // the own use is off `run` already; what the others use meanwhile goes off too
             let others = if answered || call.lease { 0.0 } else { own / self.share(c) - own };
             self.customers[c].run -= if fits { others } else { 0.0 };
-            over -= if fits {
-                0.0
-            } else if call.lease {
-                1.0
-            } else {
-                units
-            };
+            over -= if fits { 0.0 } else { units };
             match (fits, left) {
                 (false, _) => self.end(slot),
                 (true, 0) => self.admit(slot),
@@ -786,13 +780,14 @@
                 (l.put_next, l.flying, l.total, l.epoch) = (0.0, 0.0, l.put, epoch);
             }
             let (diff, ahead) = (cust.leased - l.put, cust.leased - l.put_next);
-            let lazy =
-                l.total.max(cust.leased) < self.crowd * p.at_once as f64 && self.now.since(l.called) < 0.5;
-            if !l.joins.is_empty() || diff != 0.0 && !lazy {
+            // a return rides with the next call while another req is out here that will bring one
+            let little = l.total.max(cust.leased) < self.crowd * p.at_once as f64;
+            let lazy = little && cust.held > 0.0 && self.now.since(l.called) < 0.5;
+            if !l.joins.is_empty() || diff.abs() > 1e-6 && !lazy {
                 (l.put, l.flying, l.called) = (l.put + diff, l.flying + diff, self.now);
                 calls.push((true, epoch, diff, std::mem::take(&mut l.joins)));
             }
-            if now % ROLL > ROLL - LEAD && ahead != 0.0 {
+            if now % ROLL > ROLL - LEAD && ahead.abs() > 1e-6 {
                 l.put_next += ahead;
                 calls.push((true, epoch + 1, ahead, Vec::new()));
             }
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -103,7 +103,7 @@
     pub units: f64,
     /// Units told to the counter for it; more than its own where it stands for others that are not.
     pub charge: f64,
-    pub leased: bool,
+    pub leased: f64,
     pub ends: Point,
     pub target: Point,
     pub stage: Stage,
