Steering leaves out the own add; a cap's plan is raised by its cap alone

Cause: adds that stand for several reqs cut the part let through by themselves (level 44 and -54 read within 2 s), and a full store raised what a full cap had cut.

--- a/src/control.rs
+++ b/src/control.rs
@@ -248,7 +248,7 @@
         let no_units = rated && self.room(c) < need;
         let (cust, crowd) = (&self.customers[c], self.crowd);
         // those known to be near their quota or cap are asked for before the calm
-        let keep = if cust.admit < 1.0 { 1.0 - crowd * crowd } else { (1.0 - crowd) * (1.0 - crowd) }.max(0.05);
+        let keep = if cust.admit < 1.0 { 1.0 - crowd * crowd } else { (1.0 - crowd) * (1.0 - crowd) }.max(0.15);
         let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
         // a total so fresh that no lease elsewhere will have come back
         let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
@@ -582,7 +582,7 @@
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
         if answered {
-            self.steer(c, lease, over);
+            self.steer(c, lease, over - call.joins.iter().map(|j| j.2).sum::<f64>());
         }
         for &(slot, id, units) in call.joins.iter().rev() {
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
@@ -665,19 +665,17 @@
     fn steer(&mut self, c: usize, lease: bool, over: f64) {
         let (now, cust) = (self.now, &mut self.customers[c]);
         let p = &self.terms.plans[cust.plan];
-        let much = if lease { cust.lease.total < p.at_once as f64 } else { cust.level > 0.5 * p.burst };
-        let by = if over > 1e-3 {
-            0.7
-        } else if much && cust.admit < 1.0 {
-            1.2
-        } else {
-            1.0
+        let full = over > 1e-3;
+        let much = if lease { !full } else { p.at_once == 0 && cust.level > 0.5 * p.burst };
+        let gap = cust.steered.map_or(f64::MAX, |s| now.since(s));
+        let by = match (full, much && cust.admit < 1.0) {
+            (true, _) if gap > 0.5 => 0.6,
+            (_, true) if gap > 1.0 => 1.2,
+            _ => return,
         };
-        if by == 1.0 || cust.steered.is_some_and(|s| now.since(s) < 0.3) {
-            return;
-        }
         (cust.admit, cust.steered) = ((cust.admit * by).clamp(0.02, 1.0), Some(now));
-        self.news.extend(Some(c).filter(|c| self.terms.peers && !self.news.contains(c)));
+        let far = (cust.admit / cust.told).ln().abs() > 0.35;
+        self.news.extend(Some(c).filter(|c| far && self.terms.peers && !self.news.contains(c)));
     }
 
     fn tell(&mut self, acts: &mut Vec<Action>) {
@@ -686,7 +684,8 @@
         }
         let mut body = Vec::new();
         for c in std::mem::take(&mut self.news).into_iter().take(32) {
-            let cust = &self.customers[c];
+            let cust = &mut self.customers[c];
+            cust.told = cust.admit;
             body.extend(&self.door.id(c).to_le_bytes()[..5]);
             body.extend([cust.plan as u8, (cust.admit * 255.0) as u8]);
         }
@@ -705,6 +704,7 @@
             }
             let cust = &mut self.customers[c];
             (cust.admit, cust.steered) = (row[6] as f64 / 255.0, Some(self.now));
+            cust.told = cust.admit;
         }
     }
 
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -155,6 +155,8 @@
     /// The part of its reqs let through while the counter is crowded, and when that was last moved.
     pub admit: f64,
     pub steered: Option<Point>,
+    /// What peers and this gateway last told each other of that part.
+    pub told: f64,
     pub queue: VecDeque<usize>,
     pub deficit: f64,
 }
@@ -174,6 +176,7 @@
             run: burst,
             run_at: now,
             admit: 1.0,
+            told: 1.0,
             ceiling_at: began,
             lease: Account { others, ..Account::default() },
             ..Customer::default()
