--- a/src/control.rs
+++ b/src/control.rs
@@ -582,7 +582,9 @@
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
         if answered {
-            self.steer(c, lease, over - call.joins.iter().map(|j| j.2).sum::<f64>());
+            let own: f64 = call.joins.iter().map(|j| j.2).sum();
+            let one = if lease { 1.0 } else { call.joins.first().map_or(0.0, |j| j.2 / (1.0 - self.crowd)) };
+            self.steer(c, lease, over - own + if lease { one } else { 0.0 });
         }
         for &(slot, id, units) in call.joins.iter().rev() {
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
