--- a/src/control.rs
+++ b/src/control.rs
@@ -582,9 +582,7 @@
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
         if answered {
-            let own: f64 = call.joins.iter().map(|j| j.2).sum();
-            let one = if lease { 1.0 } else { call.joins.first().map_or(0.0, |j| j.2 / (1.0 - self.crowd)) };
-            self.steer(c, lease, over - own + if lease { one } else { 0.0 });
+            self.steer(c, lease, over - call.joins.iter().map(|j| j.2).sum::<f64>());
         }
         for &(slot, id, units) in call.joins.iter().rev() {
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
@@ -770,7 +768,8 @@
         let overdue = q.owed > 0.5 * self.crowd * p.burst && self.now.since(q.called) > 1.0;
         let stale = q.seen.is_none_or(|s| self.now.since(s) > ROLL);
         let lack = q.joins.iter().map(|j| j.2).sum::<f64>() + share * (p.burst - cust.run).max(0.0);
-        if p.rate > 0.0 && (!q.joins.is_empty() || q.urgent || self.silent || overdue) {
+        let back = q.urgent && q.owed.abs() > 1e-6; // a charge that was turned away is no debt
+        if p.rate > 0.0 && (!q.joins.is_empty() || back || self.silent || overdue) {
             let amount = std::mem::take(&mut q.owed).min(if stale { lack } else { f64::MAX });
             (q.urgent, q.called, q.flying) = (false, self.now, q.flying + amount);
             calls.push((false, (now / WINDOW) as u64, amount, std::mem::take(&mut q.joins)));
