--- a/src/control.rs
+++ b/src/control.rs
@@ -248,7 +248,7 @@
         let no_units = rated && self.room(c) < need;
         let (cust, crowd) = (&self.customers[c], self.crowd);
         // those known to be near their quota or cap are asked for before the calm
-        let keep = if cust.admit < 1.0 { 1.0 - crowd * crowd } else { (1.0 - crowd) * (1.0 - crowd) }.max(0.15);
+        let keep = if cust.admit < 1.0 { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
         let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
         // a total so fresh that no lease elsewhere will have come back
         let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
