Attempt: where credits are under one a srv, pick by chance in proportion

Expected: no favourites, and restarted srvs used while they warm. Favourites are each gateway's guard against slow and stuck srvs that it has not met; next, less of it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -180,6 +180,9 @@
     /// it back. The send goes where the largest part is left; home zone first where it is nearly equal.
     fn pick(&mut self, slot: usize) -> Option<usize> {
         let base = 1.5 * self.limit / self.srvs.open().count().max(1) as f64;
+        // with credits to spare their order decides; with under one a srv, as at one of many gateways, it
+        // would send all to a favourite: there the chance of a srv is its part of the credits
+        let even = 1.0 / (1.0 + 4.0 * base * base);
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.distrust(i), self.warmth(i));
@@ -193,7 +196,8 @@
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
-            let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
+            let chance = -self.rng.f64().max(1e-9).ln();
+            let cost = (s.out[i] as f64 + 1.0) / credit * near * chance.powf(even);
             if left && best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
             }
