--- a/src/control.rs
+++ b/src/control.rs
@@ -182,7 +182,7 @@
         let base = 1.5 * self.limit / self.srvs.open().count().max(1) as f64;
         // with credits to spare their order decides; with under one a srv, as at one of many gateways, it
         // would send all to a favourite: there the chance of a srv is its part of the credits
-        let even = 1.0 / (1.0 + 4.0 * base * base);
+        let even = 0.3 / (1.0 + 4.0 * base * base);
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.distrust(i), self.warmth(i));
