--- a/src/control.rs
+++ b/src/control.rs
@@ -165,11 +165,14 @@
     /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades;
     /// what is out at a convicted srv is looked at again, whatever made it sick.
     fn evidence(&mut self, i: usize, weight: f64) {
-        const CONVICTED: f64 = 6.9; // odds of 1000 to 1: some ten outcomes a second are tested on each srv
+        // odds of 1000 to 1 where four outcomes a second are tested on each srv; fewer outcomes, lower odds:
+        // one of many gateways has other srvs enough, and would not meet this one again for long
+        let tested = self.srvs.passed.iter().sum::<f64>() / 4.0 / self.srvs.open().count().max(1) as f64;
+        let convicted = (250.0 * tested).ln().clamp(2.0, 6.9);
         self.distrust(i);
         self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
-        if self.srvs.evidence[i] >= CONVICTED {
-            (self.srvs.evidence[i], self.srvs.distrust[i]) = (CONVICTED / 2.0, 1.0);
+        if self.srvs.evidence[i] >= convicted {
+            (self.srvs.evidence[i], self.srvs.distrust[i]) = (convicted / 2.0, 1.0);
             let there = |r: &Req| r.tries.iter().any(|t| t.running && t.srv == i);
             let slots = self.reqs.slots().filter(|&slot| self.reqs.at(slot).is_some_and(there));
             self.wakes.extend(slots.map(|slot| Reverse((self.now, slot))));
@@ -180,9 +183,6 @@
     /// it back. The send goes where the largest part is left; home zone first where it is nearly equal.
     fn pick(&mut self, slot: usize) -> Option<usize> {
         let base = 1.5 * self.limit / self.srvs.open().count().max(1) as f64;
-        // with credits to spare their order decides; with under one a srv, as at one of many gateways, it
-        // would send all to a favourite: there the chance of a srv is its part of the credits
-        let even = 0.3 / (1.0 + 4.0 * base * base);
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.distrust(i), self.warmth(i));
@@ -196,8 +196,7 @@
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
-            let chance = -self.rng.f64().max(1e-9).ln();
-            let cost = (s.out[i] as f64 + 1.0) / credit * near * chance.powf(even);
+            let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
             if left && best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
             }
