--- a/src/control.rs
+++ b/src/control.rs
@@ -104,8 +104,11 @@
             (self.limit, self.cut) = (self.limit.min(self.peak) * 0.7, true);
         } else if self.peak > 0.5 * self.limit {
             // as shares of the start: the steps of all gateways together are the same, whatever their number
-            let all = self.terms.gateways.max(1) as f64;
-            self.limit += passed * if self.cut { 4.0 } else { self.srvs.open().count() as f64 / 4.0 } / all;
+            // fast only while answers leave half of the target: then srvs surely have room
+            let calm =
+                (0..self.tail.len()).all(|f| self.tail[f] < 0.5 * self.terms.frontends[f].target.secs());
+            let step = if self.cut || !calm { 3.0 } else { 0.75 * self.srvs.open().count() as f64 };
+            self.limit += passed * step / self.terms.gateways.max(1) as f64;
         }
         // never under about one req a core, where chance alone would keep srvs idle
         (self.limit, self.full, self.peak) = (self.limit.max(0.6 * start), 0, self.out as f64);
