Cold srvs are chosen as often as their warmth allows, at equal cost

Told apart from a real shortage by the record: 14 to 18 out at warm srvs, none at cold ones. Change: a cold srv is a choice with the chance of its warmth.

--- a/src/control.rs
+++ b/src/control.rs
@@ -189,11 +189,14 @@
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.distrust(i), self.warmth(i));
-            if !self.may_go(slot, i) || warm < 1.0 && self.srvs.tokens[i] < 1.0 {
+            // a cold srv is a choice like others, but only so often as it can work: with few reqs out at each
+            // of many gateways there is always an idle warm one, and it would get none
+            let cold = warm < 1.0 && (self.srvs.tokens[i] < 1.0 || self.rng.f64() > warm);
+            if cold || !self.may_go(slot, i) {
                 continue;
             }
             let s = &self.srvs;
-            let credit = base * s.squeeze[i] * warm * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
+            let credit = base * s.squeeze[i] * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
             // whole credits: a convicted srv gets none until half its distrust faded, then one as a trial;
             // a few credits at the least elsewhere, or spread in the work alone would leave srvs idle
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
