--- a/src/control.rs
+++ b/src/control.rs
@@ -127,7 +127,8 @@
             (s.zone[i], s.cell[i], s.ready[i]) = (row.zone, row.cell, row.state == SrvState::Ready);
             if new || s.born[i] != row.born {
                 // a process that started anew has nothing of the old one's record
-                (s.born[i], s.pace[i], s.squeeze[i], s.tokens[i]) = (row.born, 1.0, 1.0, 1.0);
+                // its first send comes at another time at each gateway, else all of them would come at once
+                (s.born[i], s.pace[i], s.squeeze[i], s.tokens[i]) = (row.born, 1.0, 1.0, self.rng.f64());
                 (s.evidence[i], s.distrust[i], s.passed[i]) = (0.0, 0.0, 0.0);
             }
         }
