Paces are forgotten where answers are few

Cause: srvs overloaded once kept a pace of some times the usual at most gateways, and got nothing for the rest of the record.

--- a/src/control.rs
+++ b/src/control.rs
@@ -81,6 +81,8 @@
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
             let s = &mut self.srvs;
             s.tokens[i] = (s.tokens[i] + rate).min(most);
+            // what is rarely met is forgotten: a srv once slow would be passed over for good
+            blend(&mut s.pace[i], 1.0, 0.1 / (1.0 + s.passed[i]));
             s.passed[i] *= 0.75;
             s.squeeze[i] = (s.squeeze[i] * 1.2).min(1.0);
         }
