--- a/src/control.rs
+++ b/src/control.rs
@@ -510,7 +510,8 @@
         let rate = self.terms.plans[cust.plan].rate;
         // the hint: when the store will hold its units, or a moment for a lease or a place to become free
         let short = if rate > 0.0 { (r.units - cust.run).max(0.0) / rate } else { 0.0 };
-        let hint = Span::from_secs(short.max(0.05)).min(self.terms.longest_hint);
+        let rare = (1.0 - cust.admit) * self.terms.longest_hint.secs();
+        let hint = Span::from_secs(short.max(rare).max(0.05)).min(self.terms.longest_hint);
         let (id, back_off) = (r.id, if self.terms.may_hint { hint } else { Span::ZERO });
         r.end = Some(if deny { Action::Deny { id, back_off } } else { Action::Abort { id } });
         self.touched.push(slot);
