--- a/src/control.rs
+++ b/src/control.rs
@@ -580,14 +580,15 @@
     }
 
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
-        const SILENT_AFTER: u32 = 3; // unanswered calls in a row: one or two happen on a crowded counter
+        // unanswered calls in a row; one or two happen on a crowded counter, and more the more it is crowded
+        let silent_after = 3 + (10.0 * self.crowd) as u32;
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
         // A crowded counter gets fewer calls: the more unanswered, the emptier a store has to be before its
         // customer's reqs are judged there. One unanswered call weighs as much as 25 answered ones.
         self.crowd = if answered { (self.crowd - 0.004).max(0.0) } else { 0.9 * self.crowd + 0.1 };
         self.misses = if answered { 0 } else { self.misses + 1 };
-        if !std::mem::replace(&mut self.silent, self.misses >= SILENT_AFTER) {
+        if !std::mem::replace(&mut self.silent, self.misses >= silent_after) {
             self.trial_at = self.now + self.trial();
         }
         let added = answered || how == Outcome::TimedOut;
