A req not asked for takes the customer's slice here; who comes back soon is asked for

Cause: what was let in without a call took only its own units off what this gateway thinks is left, though others let in as much. The source's room divided by the customer's gateways again; a customer met a second time within its slice is asked for, else denied.

--- a/src/control.rs
+++ b/src/control.rs
@@ -257,21 +257,22 @@
             self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit).max(2.0);
         let past = cut && target < self.now.later(self.typical(frontend));
         let need = if self.silent { self.need(c, n.units) } else { n.units };
-        let no_units = rated && self.room(c) < need;
+        let short = rated && self.room(c) < need;
         let (cust, crowd) = (&self.customers[c], self.crowd);
-        // those known to be near their quota or cap are asked for before the calm
-        let keep = if cust.admit < 1.0 { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
+        let recent = cust.quota.seen.is_some_and(|s| self.now.since(s) < ROLL);
+        // those known to be near their quota or cap, or back here soon, are asked for before the calm
+        let keep = if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
         let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
         // a total so fresh that no lease elsewhere will have come back
         let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
         let no_lease = full || self.silent && !self.lease_alone(c, cust.held + 1.0);
         // who is asked: each name of the plan, unless the counter is silent, or so crowded that it is spared
         // where a fresh total left much; else by chance, and what is then told stands for those not asked
-        let recent = cust.quota.seen.is_some_and(|s| self.now.since(s) < ROLL);
         let much = recent && cust.run >= (1.0 - crowd) * burst + n.units;
         let through = crowd < 0.1 || self.rng.f64() < cust.admit;
         let asks = !self.silent && self.rng.f64() < keep;
         let ask_quota = rated && asks && !much;
+        let no_units = short && (recent || !asks);
         let spare = age < ROLL && cust.lease.total.max(cust.held) < crowd * cap;
         let ask_lease = cap > 0.0 && asks && !spare;
         let charge = if ask_quota {
@@ -284,7 +285,7 @@
         if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
-        let share = if self.silent { self.share(c) } else { 1.0 };
+        let share = if ask_quota { 1.0 } else { self.share(c) };
         let cust = &mut self.customers[c];
         let leased = if ask_lease { 1.0 / keep } else { (spare || self.silent) as u8 as f64 };
         cust.held += 1.0;
@@ -580,15 +581,14 @@
     }
 
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
-        // unanswered calls in a row; one or two happen on a crowded counter, and more the more it is crowded
-        let silent_after = 3 + (10.0 * self.crowd) as u32;
+        const SILENT_AFTER: u32 = 3; // unanswered calls in a row: one or two happen on a crowded counter
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
         // A crowded counter gets fewer calls: the more unanswered, the emptier a store has to be before its
         // customer's reqs are judged there. One unanswered call weighs as much as 25 answered ones.
         self.crowd = if answered { (self.crowd - 0.004).max(0.0) } else { 0.9 * self.crowd + 0.1 };
         self.misses = if answered { 0 } else { self.misses + 1 };
-        if !std::mem::replace(&mut self.silent, self.misses >= silent_after) {
+        if !std::mem::replace(&mut self.silent, self.misses >= SILENT_AFTER) {
             self.trial_at = self.now + self.trial();
         }
         let added = answered || how == Outcome::TimedOut;
