--- a/src/control.rs
+++ b/src/control.rs
@@ -261,7 +261,10 @@
         let (cust, crowd) = (&self.customers[c], self.crowd);
         let recent = cust.quota.seen.is_some_and(|s| self.now.since(s) < ROLL);
         // those known to be near their quota or cap, or back here soon, are asked for before the calm
-        let keep = if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
+        let soon = cap > 0.0 && self.now < cust.free_at;
+        let keep =
+            if cust.admit < 1.0 || short || soon { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }
+                .max(0.1);
         let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
         // a total so fresh that no lease elsewhere will have come back
         let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
@@ -275,6 +278,7 @@
         let no_units = short && (recent || !asks);
         let spare = age < ROLL && cust.lease.total.max(cust.held) < crowd * cap;
         let ask_lease = cap > 0.0 && asks && !spare;
+        let alone = cap > 0.0 && !ask_lease && !spare && !self.silent;
         let charge = if ask_quota {
             n.units / keep
         } else if much || self.silent {
@@ -282,11 +286,21 @@
         } else {
             0.0
         };
-        if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
+        if past
+            || hopeless
+            || !through
+            || no_units
+            || cap > 0.0 && no_lease
+            || soon && alone
+            || !self.ceiling(c, n.units)
+        {
             return self.end(slot);
         }
         let share = if ask_quota { 1.0 } else { self.share(c) };
+        // half of what the cap lets through in the usual time, divided by the customer's gateways
+        let gap = 2.0 * self.typical(frontend) / cap.max(1.0) / self.share(c);
         let cust = &mut self.customers[c];
+        cust.free_at = if alone { self.now.later(gap) } else { cust.free_at };
         let leased = if ask_lease { 1.0 / keep } else { (spare || self.silent) as u8 as f64 };
         cust.held += 1.0;
         cust.leased += leased;
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -150,6 +150,8 @@
     pub held: f64,
     /// Those of them that the counter knows or is to know.
     pub leased: f64,
+    /// When a req may go out again without asking for a lease.
+    pub free_at: Point,
     pub ceiling: f64,
     pub ceiling_at: Point,
     /// The part of its reqs let through while the counter is crowded, and when that was last moved.
