--- a/src/control.rs
+++ b/src/control.rs
@@ -272,7 +272,7 @@
         // who is asked: each name of the plan, unless the counter is silent, or so crowded that it is spared
         // where a fresh total left much; else by chance, and what is then told stands for those not asked
         let much = recent && cust.run >= (1.0 - crowd) * burst + n.units;
-        let through = crowd < 0.1 || self.rng.f64() < cust.admit;
+        let through = true;
         let asks = !self.silent && self.rng.f64() < keep;
         let ask_quota = rated && asks && !much;
         let no_units = short && (recent || !asks);
@@ -703,7 +703,7 @@
         };
         (cust.admit, cust.steered) = ((cust.admit * by).clamp(0.02, 1.0), Some(now));
         let far = (cust.admit / cust.told).ln().abs() > 0.35;
-        self.news.extend(Some(c).filter(|c| false && far && self.terms.peers && !self.news.contains(c)));
+        self.news.extend(Some(c).filter(|c| far && self.terms.peers && !self.news.contains(c)));
     }
 
     fn tell(&mut self, acts: &mut Vec<Action>) {
