--- a/src/control.rs
+++ b/src/control.rs
@@ -272,7 +272,7 @@
         // who is asked: each name of the plan, unless the counter is silent, or so crowded that it is spared
         // where a fresh total left much; else by chance, and what is then told stands for those not asked
         let much = recent && cust.run >= (1.0 - crowd) * burst + n.units;
-        let through = true;
+        let through = crowd < 0.1 || self.rng.f64() < cust.admit;
         let asks = !self.silent && self.rng.f64() < keep;
         let ask_quota = rated && asks && !much;
         let no_units = short && (recent || !asks);
@@ -697,8 +697,8 @@
         let much = if lease { !full } else { p.at_once == 0 && cust.level > 0.5 * p.burst };
         let gap = cust.steered.map_or(f64::MAX, |s| now.since(s));
         let by = match (full, much && cust.admit < 1.0) {
-            (true, _) if gap > 0.5 => 0.6,
-            (_, true) if gap > 1.0 => 1.2,
+            (true, _) if gap > 0.3 => 0.5,
+            (_, true) if gap > 1.0 => 1.25,
             _ => return,
         };
         (cust.admit, cust.steered) = ((cust.admit * by).clamp(0.02, 1.0), Some(now));
