--- a/src/control.rs
+++ b/src/control.rs
@@ -717,7 +717,7 @@
             body.extend(&self.door.id(c).to_le_bytes()[..5]);
             body.extend([cust.plan as u8, (cust.admit * 255.0) as u8]);
         }
-        self.tell_at = self.now.later(self.terms.gateways as f64 / (0.7 * self.terms.peer_intake).max(1e-3));
+        self.tell_at = self.now.later(self.terms.gateways as f64 / (2.0 * self.terms.peer_intake).max(1e-3));
         acts.push(Action::Tell { to: None, body });
     }
 
