--- a/src/control.rs
+++ b/src/control.rs
@@ -503,8 +503,10 @@
             // what was sent before a process started anew says nothing of the new one
             _ if self.srvs.born[srv].is_some_and(|b| sent <= b) => {}
             _ => {
+                // no connection is proof enough for a while: another dispatch there would be lost as well
+                let proof = if e.how == Outcome::NoConnection { 7.0 } else { 0.0 };
                 blend(&mut self.bad_share, 1.0, 0.02);
-                self.evidence(srv, (0.6 / self.bad_share.clamp(0.02, 0.1)).ln());
+                self.evidence(srv, proof + (0.6 / self.bad_share.clamp(0.02, 0.1)).ln());
             }
         }
         match e.closed || over {
@@ -717,7 +719,7 @@
             body.extend(&self.door.id(c).to_le_bytes()[..5]);
             body.extend([cust.plan as u8, (cust.admit * 255.0) as u8]);
         }
-        self.tell_at = self.now.later(self.terms.gateways as f64 / (2.0 * self.terms.peer_intake).max(1e-3));
+        self.tell_at = self.now.later(self.terms.gateways as f64 / (0.7 * self.terms.peer_intake).max(1e-3));
         acts.push(Action::Tell { to: None, body });
     }
 
