Answers full are learnt by srv and plan; a throttle is no full pool

Cause: throttled srvs answer full to one tariff though they have room; the pool limit was cut for it and the srv passed over for all. Harm: a pool that is full while one plan's few reqs pass is cut later.

--- a/src/control.rs
+++ b/src/control.rs
@@ -24,6 +24,8 @@
             tail: part(0.5),
             most_left: part(0.0),
             copies: 5.0, // half the most: a fresh gateway may meet sick srvs at once
+            full_plan: vec![1.0; terms.plans.len()],
+            full_frontend: vec![1.0; terms.frontends.len()],
             samples: vec![Vec::new(); terms.frontends.len()],
             terms,
             ..Control::default()
@@ -76,6 +78,7 @@
         if seen >= 10 {
             self.decide(seen as f64);
         }
+        self.srvs.squeeze.iter_mut().for_each(|s| *s = (*s * 1.2).min(1.0));
         for i in 0..self.srvs.ready.len() {
             let rate = self.cold_rate(i);
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
@@ -84,7 +87,6 @@
             // what is rarely met is forgotten: a srv once slow would be passed over for good
             blend(&mut s.pace[i], 1.0, 0.1 / (1.0 + s.passed[i]));
             s.passed[i] *= 0.75;
-            s.squeeze[i] = (s.squeeze[i] * 1.2).min(1.0);
         }
     }
 
@@ -102,7 +104,9 @@
             s.clear();
         }
         let (start, passed) = (self.start(), self.now.since(self.decided).min(5.0));
-        if late || self.full as f64 > 0.1 * seen {
+        // answers "full" to some plans or frontends only are a srv's throttle, and no sign of a full pool
+        let everywhere = self.full_plan.iter().chain(&self.full_frontend).all(|share| *share > 0.1);
+        if late || self.full as f64 > 0.1 * seen && everywhere {
             (self.limit, self.cut) = (self.limit.min(self.peak) * 0.7, true);
         } else if self.peak > 0.5 * self.limit {
             // as shares of the start: the steps of all gateways together are the same, whatever their number
@@ -130,7 +134,8 @@
             if new || s.born[i] != row.born {
                 // a process that started anew has nothing of the old one's record
                 // its first send comes at another time at each gateway, else all of them would come at once
-                (s.born[i], s.pace[i], s.squeeze[i], s.tokens[i]) = (row.born, 1.0, 1.0, self.rng.f64());
+                (s.born[i], s.pace[i], s.tokens[i]) = (row.born, 1.0, self.rng.f64());
+                s.squeeze.resize(s.ready.len() * self.terms.plans.len(), 1.0);
                 (s.evidence[i], s.distrust[i], s.passed[i]) = (0.0, 0.0, 0.0);
             }
         }
@@ -189,6 +194,7 @@
     /// it back. The send goes where the largest part is left; home zone first where it is nearly equal.
     fn pick(&mut self, slot: usize) -> Option<usize> {
         let base = 1.5 * self.limit / self.srvs.open().count().max(1) as f64;
+        let plan = self.reqs.at(slot).map_or(0, |r| self.customers[r.customer].plan);
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.distrust(i), self.warmth(i));
@@ -199,7 +205,8 @@
                 continue;
             }
             let s = &self.srvs;
-            let credit = base * s.squeeze[i] * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
+            let credit = base * s.squeeze[i * self.terms.plans.len() + plan] * (1.0 - distrust).powi(2)
+                / s.pace[i].clamp(0.7, 10.0);
             // whole credits: a convicted srv gets none until half its distrust faded, then one as a trial;
             // a few credits at the least elsewhere, or spread in the work alone would leave srvs idle
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
@@ -481,6 +488,11 @@
         if sound && (e.how == Outcome::Passed || was_late && e.how == Outcome::Cancelled) {
             self.samples[f].push(took);
         }
+        let (plan, hit) = (self.customers[c].plan, (e.how == Outcome::Full) as u8 as f64);
+        if hit > 0.0 || e.how == Outcome::Passed {
+            blend(&mut self.full_plan[plan], hit, 0.05);
+            blend(&mut self.full_frontend[f], hit, 0.05);
+        }
         match e.how {
             Outcome::Passed => {
                 blend(&mut self.usual[f], took, if sound { 0.03 } else { 0.0 });
@@ -499,7 +511,8 @@
             }
             Outcome::Full => {
                 self.full += 1;
-                self.srvs.squeeze[srv] = (self.srvs.squeeze[srv] * 0.7).max(0.1);
+                let squeeze = &mut self.srvs.squeeze[srv * self.terms.plans.len() + plan];
+                *squeeze = (*squeeze * 0.7).max(0.1);
             }
             Outcome::Cancelled | Outcome::NotSent => {}
             // what was sent before a process started anew says nothing of the new one
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -230,7 +230,7 @@
     pub distrust: Vec<f64>,
     /// When distrust was last brought up to date.
     pub faded: Vec<Point>,
-    /// The part of the credits left after answers that it is full.
+    /// By srv and plan: the part of the credits left after answers that it is full.
     pub squeeze: Vec<f64>,
     /// Answers a second, smoothed.
     pub passed: Vec<f64>,
@@ -248,14 +248,9 @@
             self.born.push(None);
             self.out.push(0);
             self.faded.push(Point::default());
-            for figures in [
-                &mut self.pace,
-                &mut self.evidence,
-                &mut self.distrust,
-                &mut self.squeeze,
-                &mut self.passed,
-                &mut self.tokens,
-            ] {
+            for figures in
+                [&mut self.pace, &mut self.evidence, &mut self.distrust, &mut self.passed, &mut self.tokens]
+            {
                 figures.push(0.0);
             }
         }
@@ -303,6 +298,9 @@
     pub(crate) tail: Vec<f64>,
     pub(crate) samples: Vec<Vec<f64>>,
     pub(crate) full: u32,
+    /// by plan, and by frontend: the share of answers that a srv is full, smoothed; 1 before any.
+    pub(crate) full_plan: Vec<f64>,
+    pub(crate) full_frontend: Vec<f64>,
     pub(crate) late_share: f64,
     pub(crate) bad_share: f64,
     pub(crate) copies: f64,
