--- a/src/control.rs
+++ b/src/control.rs
@@ -615,7 +615,11 @@
         let (c, answered) = (call.customer, how == Outcome::Passed);
         // A crowded counter gets fewer calls: the more unanswered, the emptier a store has to be before its
         // customer's reqs are judged there. One unanswered call weighs as much as 25 answered ones.
-        self.crowd = if answered { (self.crowd - 0.004).max(0.0) } else { 0.9 * self.crowd + 0.1 };
+        // a fresh gateway's first calls tell most: of hundreds none makes many before the counter is jammed
+        self.answers += 1.0;
+        let miss = (1.0 / self.answers).max(0.1);
+        self.crowd =
+            if answered { (self.crowd - 0.004).max(0.0) } else { self.crowd + miss * (1.0 - self.crowd) };
         self.misses = if answered { 0 } else { self.misses + 1 };
         if !std::mem::replace(&mut self.silent, self.misses >= SILENT_AFTER) {
             self.trial_at = self.now + self.trial();
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -277,6 +277,8 @@
     pub(crate) misses: u32,
     pub(crate) silent: bool,
     pub(crate) crowd: f64,
+    /// Counter calls that have ended.
+    pub(crate) answers: f64,
     pub(crate) trial_at: Point,
     /// Customers whose part let through peers are yet to hear of.
     pub(crate) news: Vec<usize>,
