--- a/src/control.rs
+++ b/src/control.rs
@@ -280,7 +280,7 @@
         // where a fresh total left much; else by chance, and what is then told stands for those not asked
         let much = recent && cust.run >= (1.0 - crowd) * burst + n.units;
         // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
-        let back = cust.steered.map_or(1.0, |s| (0.1 * self.now.since(s)).exp());
+        let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
         let through = crowd < 0.1 || self.rng.f64() < cust.admit * back;
         let asks = !self.silent && self.rng.f64() < keep;
         let ask_quota = rated && asks && !much;
