--- a/src/control.rs
+++ b/src/control.rs
@@ -620,10 +620,8 @@
         // a fresh gateway's first calls tell most: of hundreds none makes many before the counter is jammed
         self.answers += 1.0;
         let miss = (1.0 / self.answers).max(0.1);
-        // the more crowded, the fewer calls are left to tell that it is over: each then weighs more
-        let clear = 0.002 / (1.0 - self.crowd).max(0.1);
         self.crowd =
-            if answered { (self.crowd - clear).max(0.0) } else { self.crowd + miss * (1.0 - self.crowd) };
+            if answered { (self.crowd - 0.004).max(0.0) } else { self.crowd + miss * (1.0 - self.crowd) };
         self.misses = if answered { 0 } else { self.misses + 1 };
         if !std::mem::replace(&mut self.silent, self.misses >= SILENT_AFTER) {
             self.trial_at = self.now + self.trial();
