--- a/src/control.rs
+++ b/src/control.rs
@@ -70,8 +70,7 @@
     }
 
     /// AIMD on the pool limit (DESIGN). Samples of srvs under suspicion are left out in `ended`, since a few
-    /// sick srvs say nothing of the room in the others. Until the first cut the climb is faster: a fresh
-    /// gateway lags warm srvs. Places that nobody used don't raise the limit and don't dull a cut.
+    /// sick srvs say nothing of the room in the others.  Places that nobody used don't raise the limit and don't dull a cut.
     fn second(&mut self) {
         let seen: usize = self.full as usize + self.samples.iter().map(Vec::len).sum::<usize>();
         // the source: too few samples, no move. One of many gateways waits until it has enough
@@ -107,14 +106,10 @@
         // answers "full" to some plans or frontends only are a srv's throttle, and no sign of a full pool
         let everywhere = self.full_plan.iter().chain(&self.full_frontend).all(|share| *share > 0.1);
         if late || self.full as f64 > 0.1 * seen && everywhere {
-            (self.limit, self.cut) = (self.limit.min(self.peak) * 0.7, true);
+            self.limit = self.limit.min(self.peak) * 0.7;
         } else if self.peak > 0.5 * self.limit {
-            // as shares of the start: the steps of all gateways together are the same, whatever their number
-            // fast only while answers leave half of the target: then srvs surely have room
-            let calm =
-                (0..self.tail.len()).all(|f| self.tail[f] < 0.5 * self.terms.frontends[f].target.secs());
-            let step = if self.cut || !calm { 3.0 } else { 0.75 * self.srvs.open().count() as f64 };
-            self.limit += passed * step / self.terms.gateways.max(1) as f64;
+            // the source adds one a second for its whole pool; here three over all gateways
+            self.limit += passed * 3.0 / self.terms.gateways.max(1) as f64;
         }
         // never under about one req a core, where chance alone would keep srvs idle
         (self.limit, self.full, self.peak) = (self.limit.max(0.6 * start), 0, self.out as f64);
@@ -257,7 +252,7 @@
         let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
         let slot = self.reqs.put(n.id, r);
         self.wake(ends, slot);
-        let (rated, cap, burst) = (p.rate > 0.0, p.at_once as f64, p.burst);
+        let (rated, cap) = (p.rate > 0.0, p.at_once as f64);
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
         let hopeless =
@@ -276,25 +271,17 @@
         // a total so fresh that no lease elsewhere will have come back
         let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
         let no_lease = full || self.silent && !self.lease_alone(c, cust.held + 1.0);
-        // who is asked: each name of the plan, unless the counter is silent, or so crowded that it is spared
-        // where a fresh total left much; else by chance, and what is then told stands for those not asked
-        let much = recent && cust.run >= (1.0 - crowd) * burst + n.units;
         // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
         let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
         let through = crowd < 0.1 || self.rng.f64() < cust.admit * back;
         let asks = !self.silent && self.rng.f64() < keep;
-        let ask_quota = rated && asks && !much;
+        let ask_quota = rated && asks;
         let no_units = short && (recent || !asks);
-        let spare = age < ROLL && cust.lease.total.max(cust.held) < crowd * cap;
-        let ask_lease = cap > 0.0 && asks && !spare;
-        let alone = cap > 0.0 && !ask_lease && !spare && !self.silent;
-        let charge = if ask_quota {
-            n.units / keep
-        } else if much || self.silent {
-            n.units
-        } else {
-            0.0
-        };
+        let ask_lease = cap > 0.0 && asks;
+        let alone = cap > 0.0 && !asks && !self.silent;
+        // what is told by chance stands for those not asked; in silence all is told later
+        let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
+        let charge = if rated { n.units * weight } else { 0.0 };
         if past
             || hopeless
             || !through
@@ -310,7 +297,7 @@
         let gap = 2.0 * self.typical(frontend) / cap.max(1.0) / self.share(c);
         let cust = &mut self.customers[c];
         cust.free_at = if alone { self.now.later(gap) } else { cust.free_at };
-        let leased = if ask_lease { 1.0 / keep } else { (spare || self.silent) as u8 as f64 };
+        let leased = if cap > 0.0 { weight } else { 0.0 };
         cust.held += 1.0;
         cust.leased += leased;
         (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
@@ -830,10 +817,7 @@
                 (l.put_next, l.flying, l.total, l.epoch) = (0.0, 0.0, l.put, epoch);
             }
             let (diff, ahead) = (cust.leased - l.put, cust.leased - l.put_next);
-            // a return rides with the next call while another req is out here that will bring one
-            let little = l.total.max(cust.leased) < self.crowd * p.at_once as f64;
-            let lazy = little && cust.held > 0.0 && self.now.since(l.called) < 0.5;
-            if !l.joins.is_empty() || diff.abs() > 1e-6 && !lazy {
+            if !l.joins.is_empty() || diff.abs() > 1e-6 {
                 (l.put, l.flying, l.called) = (l.put + diff, l.flying + diff, self.now);
                 calls.push((true, epoch, diff, std::mem::take(&mut l.joins)));
             }
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -284,7 +284,6 @@
     pub(crate) news: Vec<usize>,
     pub(crate) tell_at: Point,
     pub(crate) limit: f64,
-    pub(crate) cut: bool,
     pub(crate) decided: Point,
     pub(crate) out: u32,
     /// The most that were out in this second.
