--- a/src/control.rs
+++ b/src/control.rs
@@ -108,8 +108,8 @@
         if late || self.full as f64 > 0.1 * seen && everywhere {
             self.limit = self.limit.min(self.peak) * 0.7;
         } else if self.peak > 0.5 * self.limit {
-            // the source adds one a second for its whole pool; here three over all gateways
-            self.limit += passed * 3.0 / self.terms.gateways.max(1) as f64;
+            // the source adds one for its whole pool: each gateway its part
+            self.limit += passed / self.terms.gateways.max(1) as f64;
         }
         // never under about one req a core, where chance alone would keep srvs idle
         (self.limit, self.full, self.peak) = (self.limit.max(0.6 * start), 0, self.out as f64);
@@ -560,11 +560,9 @@
 
     /// The customer's store as far as is known here: the last totals, what filled, what went out here.
     fn room(&mut self, c: usize) -> f64 {
-        // a crowded counter is asked less: of what fills, the others are taken to use their share
-        let gain = if self.silent { 1.0 } else { 1.0 - self.crowd * (1.0 - self.share(c)) };
         let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
-        cust.run = (cust.run + gain * p.rate * self.now.since(cust.run_at)).min(p.burst);
+        cust.run = (cust.run + p.rate * self.now.since(cust.run_at)).min(p.burst);
         cust.run_at = self.now;
         cust.run
     }
