--- a/src/control.rs
+++ b/src/control.rs
@@ -139,9 +139,9 @@
     }
 
     /// DESIGN: the pool starts at a set figure per ready srv. All gateways together send there, so the figure
-    /// is divided by them: about a req a core; it climbs where that is used up.
+    /// is divided by them; it climbs where that is used up. Two and four a srv are no better on any site.
     fn start(&self) -> f64 {
-        4.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
+        3.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
 
     /// What a srv can do now as a share of its capacity, going by the slowest warming that the rules allow.
