--- a/src/control.rs
+++ b/src/control.rs
@@ -127,11 +127,9 @@
             let (i, new) = s.enter(row.srv);
             (s.zone[i], s.cell[i], s.ready[i]) = (row.zone, row.cell, row.state == SrvState::Ready);
             if new || s.born[i] != row.born {
-                // a process that started anew has nothing of the old one's record
+                s.start(i, row.born, self.terms.plans.len());
                 // its first send comes at another time at each gateway, else all of them would come at once
-                (s.born[i], s.pace[i], s.tokens[i]) = (row.born, 1.0, self.rng.f64());
-                s.squeeze.resize(s.ready.len() * self.terms.plans.len(), 1.0);
-                (s.evidence[i], s.distrust[i], s.passed[i]) = (0.0, 0.0, 0.0);
+                s.tokens[i] = self.rng.f64();
             }
         }
         let ready = s.open().count() as f64;
@@ -171,17 +169,13 @@
     /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades;
     /// what is out at a convicted srv is looked at again, whatever made it sick.
     fn evidence(&mut self, i: usize, weight: f64) {
-        // odds of 1000 to 1 where four outcomes a second are tested on each srv; fewer outcomes, lower odds:
-        // one of many gateways has other srvs enough, and would not meet this one again for long
-        let tested = self.srvs.passed.iter().sum::<f64>() / 4.0 / self.srvs.open().count().max(1) as f64;
-        let convicted = (250.0 * tested).ln().clamp(2.0, 6.9);
+        const CONVICTED: f64 = 6.9; // odds of 1000 to 1; at many gateways lower odds are no better
         self.distrust(i);
         self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
-        if self.srvs.evidence[i] >= convicted {
-            (self.srvs.evidence[i], self.srvs.distrust[i]) = (convicted / 2.0, 1.0);
-            let there = |r: &Req| r.tries.iter().any(|t| t.running && t.srv == i);
-            let slots = self.reqs.slots().filter(|&slot| self.reqs.at(slot).is_some_and(there));
-            self.wakes.extend(slots.map(|slot| Reverse((self.now, slot))));
+        if self.srvs.evidence[i] >= CONVICTED {
+            (self.srvs.evidence[i], self.srvs.distrust[i]) = (CONVICTED / 2.0, 1.0);
+            let slots = self.reqs.running_at(i);
+            self.wakes.extend(slots.into_iter().map(|slot| Reverse((self.now, slot))));
         }
     }
 
@@ -199,9 +193,9 @@
             if cold || !self.may_go(slot, i) {
                 continue;
             }
+            let squeeze = *self.srvs.squeeze(i, plan);
             let s = &self.srvs;
-            let credit = base * s.squeeze[i * self.terms.plans.len() + plan] * (1.0 - distrust).powi(2)
-                / s.pace[i].clamp(0.7, 10.0);
+            let credit = base * squeeze * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
             // whole credits: a convicted srv gets none until half its distrust faded, then one as a trial;
             // a few credits at the least elsewhere, or spread in the work alone would leave srvs idle
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
@@ -298,8 +292,7 @@
         let cust = &mut self.customers[c];
         cust.free_at = if alone { self.now.later(gap) } else { cust.free_at };
         let leased = if cap > 0.0 { weight } else { 0.0 };
-        cust.held += 1.0;
-        cust.leased += leased;
+        cust.hold(1.0, leased);
         (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
         cust.quota.joins.extend(Some((slot, n.id, charge)).filter(|_| ask_quota));
         cust.lease.joins.extend(Some((slot, n.id, leased)).filter(|_| ask_lease));
@@ -375,8 +368,7 @@
         }
         let Some(r) = self.reqs.at_mut(slot) else { return };
         if r.stage == Stage::Out {
-            let cust = &mut self.customers[r.customer]; // the first dispatch has the lease of the queue
-            (cust.held, cust.leased) = (cust.held + 1.0, cust.leased + r.leased);
+            self.customers[r.customer].hold(1.0, r.leased); // the first dispatch has the lease of the queue
             self.dirty.push(r.customer);
         }
         r.stage = Stage::Out;
@@ -468,8 +460,7 @@
         t.ran = !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
         let (srv, was_late, sent) = (t.srv, t.overdue, t.sent);
         (self.srvs.out[srv], self.out) = (self.srvs.out[srv] - 1, self.out - 1);
-        (self.customers[c].held, self.customers[c].leased) =
-            (self.customers[c].held - 1.0, self.customers[c].leased - leased);
+        self.customers[c].hold(-1.0, -leased);
         self.dirty.push(c);
         // the pool hears of answers, and of what was not answered in time with nobody to blame
         let took = e.took.secs();
@@ -500,7 +491,7 @@
             }
             Outcome::Full => {
                 self.full += 1;
-                let squeeze = &mut self.srvs.squeeze[srv * self.terms.plans.len() + plan];
+                let squeeze = self.srvs.squeeze(srv, plan);
                 *squeeze = (*squeeze * 0.7).max(0.1);
             }
             Outcome::Cancelled | Outcome::NotSent => {}
@@ -541,9 +532,8 @@
         let charged = |r: &&Req| matches!(r.stage, Stage::Charging | Stage::Waiting) && r.end.is_none();
         let Some(r) = self.reqs.at(slot).filter(charged) else { return };
         let cust = &mut self.customers[r.customer];
-        (cust.held, cust.run) = (cust.held - 1.0, cust.run + r.units);
-        cust.leased -= r.leased;
-        cust.quota.owed -= r.charge;
+        cust.hold(-1.0, -r.leased);
+        (cust.run, cust.quota.owed) = (cust.run + r.units, cust.quota.owed - r.charge);
         cust.quota.urgent |= urgent;
         self.dirty.push(r.customer);
     }
@@ -648,7 +638,7 @@
         let (p, q) = (&self.terms.plans[cust.plan], &mut cust.quota);
         q.flying -= call.amount;
         if !answered {
-            *(if added { &mut q.doubt } else { &mut q.owed }) += call.amount;
+            q.owed += if added { 0.0 } else { call.amount };
         }
         if !answered || call.epoch < q.epoch {
             return (-cust.level).max(0.0);
@@ -658,9 +648,6 @@
         let anew = call.epoch > q.epoch || q.seen.is_none() || fell;
         let delta = if anew { total } else { total - q.total };
         let others = delta - call.amount;
-        // an unanswered add that never got there is made again
-        q.owed += if others < 0.5 * q.doubt { q.doubt } else { 0.0 };
-        q.doubt = 0.0;
         let since = if q.seen.is_none() { self.now.secs() % WINDOW } else { self.now.since(cust.level_at) };
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
         let all = cust.level + p.rate * since;
@@ -717,28 +704,25 @@
             return;
         }
         let mut body = Vec::new();
-        for c in std::mem::take(&mut self.news).into_iter().take(32) {
+        for c in std::mem::take(&mut self.news).into_iter().take(News::MOST) {
             let cust = &mut self.customers[c];
             cust.told = cust.admit;
-            body.extend(&self.door.id(c).to_le_bytes()[..5]);
-            body.extend([cust.plan as u8, (cust.admit * 255.0) as u8]);
+            body.extend(News { customer: self.door.id(c), plan: cust.plan, part: cust.admit }.bytes());
         }
         self.tell_at = self.now.later(self.terms.gateways as f64 / (0.7 * self.terms.peer_intake).max(1e-3));
         acts.push(Action::Tell { to: None, body });
     }
 
     fn heard(&mut self, body: &[u8]) {
-        for row in body.chunks_exact(7).filter(|row| (row[5] as usize) < self.terms.plans.len()) {
-            let id = u64::from_le_bytes([row[0], row[1], row[2], row[3], row[4], 0, 0, 0]);
-            let (plan, (c, new)) = (row[5] as usize, self.door.enter(id));
+        for News { customer, plan, part } in News::all(body) {
+            let Some(p) = self.terms.plans.get(plan) else { continue };
+            let (c, new) = self.door.enter(customer);
             if new {
-                let burst = self.terms.plans[plan].burst;
-                self.customers.push(Customer::new(plan, burst, 0.0, self.now, self.began));
+                self.customers.push(Customer::new(plan, p.burst, 0.0, self.now, self.began));
                 self.customers[c].spread = self.terms.gateways.max(1) as f64;
             }
             let cust = &mut self.customers[c];
-            (cust.admit, cust.steered) = (row[6] as f64 / 255.0, Some(self.now));
-            cust.told = cust.admit;
+            (cust.admit, cust.told, cust.steered) = (part, part, Some(self.now));
         }
     }
 
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -51,10 +51,6 @@
         self.ix.insert(id, i);
         i
     }
-    /// Every slot's number, used or not.
-    pub fn slots(&self) -> std::ops::Range<usize> {
-        0..self.slots.len()
-    }
     pub fn at(&self, i: usize) -> Option<&T> {
         self.slots.get(i).and_then(Option::as_ref)
     }
@@ -115,7 +111,7 @@
     pub end: Option<Action>,
 }
 
-/// A name on the counter as seen from here. Amounts not in an answered total are flying, owed or in doubt.
+/// A name on the counter as seen from here. Amounts not in an answered total are flying or owed.
 #[derive(Debug, Default)]
 pub struct Account {
     pub epoch: u64,
@@ -126,7 +122,6 @@
     pub put_next: f64,
     pub flying: f64,
     pub owed: f64,
-    pub doubt: f64,
     /// What others had on it lately, smoothed.
     pub others: f64,
     /// Reqs that wait for the next total: slot, id, units.
@@ -170,6 +165,10 @@
 }
 
 impl Customer {
+    /// Dispatches more out or held here, and leases that the counter is to know of.
+    pub fn hold(&mut self, more: f64, leased: f64) {
+        (self.held, self.leased) = (self.held + more, self.leased + leased);
+    }
     pub fn new(plan: usize, burst: f64, others: f64, now: Point, began: Point) -> Customer {
         Customer {
             plan,
@@ -186,6 +185,36 @@
     }
 }
 
+impl Slab<Req> {
+    /// The slots of reqs with a dispatch running at a srv.
+    pub fn running_at(&self, srv: usize) -> Vec<usize> {
+        let there = |r: &Req| r.tries.iter().any(|t| t.running && t.srv == srv);
+        (0..self.slots.len()).filter(|&slot| self.at(slot).is_some_and(there)).collect()
+    }
+}
+
+/// What gateways tell each other of a customer: the part of its reqs let through. Seven bytes each.
+pub struct News {
+    pub customer: u64,
+    pub plan: usize,
+    pub part: f64,
+}
+
+impl News {
+    pub const MOST: usize = 256 / 7;
+    pub fn bytes(&self) -> [u8; 7] {
+        let [a, b, c, d, e, ..] = self.customer.to_le_bytes();
+        [a, b, c, d, e, self.plan as u8, (self.part * 255.0) as u8]
+    }
+    pub fn all(body: &[u8]) -> impl Iterator<Item = News> + '_ {
+        body.chunks_exact(7).map(|r| News {
+            customer: u64::from_le_bytes([r[0], r[1], r[2], r[3], r[4], 0, 0, 0]),
+            plan: r[5] as usize,
+            part: r[6] as f64 / 255.0,
+        })
+    }
+}
+
 /// Calls to the counter that have no answer yet, by name, in the order of the calls.
 #[derive(Debug, Default)]
 pub struct Calls(HashMap<u64, VecDeque<Call>>);
@@ -232,6 +261,7 @@
     pub faded: Vec<Point>,
     /// By srv and plan: the part of the credits left after answers that it is full.
     pub squeeze: Vec<f64>,
+    pub plans: usize,
     /// Answers a second, smoothed.
     pub passed: Vec<f64>,
     /// Sends that it may still get while cold.
@@ -256,6 +286,17 @@
         }
         (i, new)
     }
+    /// A process that started anew has nothing of the old one's record.
+    pub fn start(&mut self, i: usize, born: Option<Point>, plans: usize) {
+        (self.born[i], self.pace[i]) = (born, 1.0);
+        (self.evidence[i], self.distrust[i], self.passed[i]) = (0.0, 0.0, 0.0);
+        self.plans = plans;
+        self.squeeze.resize(self.ready.len() * plans, 1.0);
+        self.squeeze[i * plans..(i + 1) * plans].fill(1.0);
+    }
+    pub fn squeeze(&mut self, i: usize, plan: usize) -> &mut f64 {
+        &mut self.squeeze[i * self.plans + plan]
+    }
     /// The indices of the srvs that take new work.
     pub fn open(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.ready.len()).filter(|&i| self.ready[i])
