--- a/src/control.rs
+++ b/src/control.rs
@@ -23,7 +23,6 @@
             usual: part(0.2),
             tail: part(0.5),
             most_left: part(0.0),
-            copies: 5.0, // half the most: a fresh gateway may meet sick srvs at once
             full_plan: vec![1.0; terms.plans.len()],
             full_frontend: vec![1.0; terms.frontends.len()],
             samples: vec![Vec::new(); terms.frontends.len()],
@@ -78,14 +77,20 @@
             self.decide(seen as f64);
         }
         self.srvs.squeeze.iter_mut().for_each(|s| *s = (*s * 1.2).min(1.0));
+        // Sends a second that a cold srv may get from here: half the rule's budget over what warm srvs answer,
+        // which is within their capacity. Own answers count only, so all gateways' parts add up
+        let warm: Vec<usize> = self.srvs.open().filter(|&i| self.warmth(i) >= 1.0).collect();
+        let each = warm.iter().map(|&i| self.srvs.passed[i] / 4.0).sum::<f64>() / warm.len().max(1) as f64;
         for i in 0..self.srvs.ready.len() {
-            let rate = self.cold_rate(i);
+            let rate = 0.5 * self.terms.fall_multiple * self.warmth(i) * each;
+            let rate = rate.max(1.0 / self.terms.gateways.max(1) as f64); // one over all, where nothing is known
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
             let s = &mut self.srvs;
             s.tokens[i] = (s.tokens[i] + rate).min(most);
             // what is rarely met is forgotten: a srv once slow would be passed over for good
             blend(&mut s.pace[i], 1.0, 0.1 / (1.0 + s.passed[i]));
             s.passed[i] *= 0.75;
+            s.distrust[i] *= 0.82; // fades in five seconds: a few trials within a short trouble
         }
     }
 
@@ -149,28 +154,10 @@
         (self.terms.cold_from + (1.0 - self.terms.cold_from) * part).min(1.0)
     }
 
-    /// Sends a second that a cold srv may get from this gateway: half the rule's budget over what warm srvs
-    /// answer, which is within their capacity. Own answers count only, so all gateways' parts add up.
-    fn cold_rate(&self, i: usize) -> f64 {
-        let warm: Vec<usize> = self.srvs.open().filter(|&j| self.warmth(j) >= 1.0).collect();
-        let rate = warm.iter().map(|&j| self.srvs.passed[j] / 4.0).sum::<f64>() / warm.len().max(1) as f64;
-        // one send a second over all gateways, where nothing is known
-        (0.5 * self.terms.fall_multiple * self.warmth(i) * rate).max(1.0 / self.terms.gateways.max(1) as f64)
-    }
-
-    fn distrust(&mut self, i: usize) -> f64 {
-        const FADE: f64 = 5.0; // seconds: a few trials within the length of a short trouble
-        let s = &mut self.srvs;
-        s.distrust[i] *= (-self.now.since(s.faded[i]) / FADE).exp();
-        s.faded[i] = self.now;
-        s.distrust[i]
-    }
-
     /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades;
     /// what is out at a convicted srv is looked at again, whatever made it sick.
     fn evidence(&mut self, i: usize, weight: f64) {
         const CONVICTED: f64 = 6.9; // odds of 1000 to 1; at many gateways lower odds are no better
-        self.distrust(i);
         self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
         if self.srvs.evidence[i] >= CONVICTED {
             (self.srvs.evidence[i], self.srvs.distrust[i]) = (CONVICTED / 2.0, 1.0);
@@ -186,7 +173,7 @@
         let plan = self.reqs.at(slot).map_or(0, |r| self.customers[r.customer].plan);
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
-            let (distrust, warm) = (self.distrust(i), self.warmth(i));
+            let (distrust, warm) = (self.srvs.distrust[i], self.warmth(i));
             // a cold srv is a choice like others, but only so often as it can work: with few reqs out at each
             // of many gateways there is always an idle warm one, and it would get none
             let cold = warm < 1.0 && (self.srvs.tokens[i] < 1.0 || self.rng.f64() > warm);
@@ -219,23 +206,25 @@
             return false;
         }
         let Some(first) = r.tries.iter().find(|t| t.ran) else { return true };
-        let same = match f.group {
-            Group::All => true,
-            Group::Zone => s.zone[first.srv] == s.zone[i],
-            Group::Cell => s.cell[first.srv] == s.cell[i],
-        };
+        let same = s.same(f.group, first.srv, i);
         // nine tenths of the memory: the srv's may run from before the send is seen
         let known = same && self.now - first.sent < f.memory.times(0.9);
         f.effect == Effect::Replayable || f.effect == Effect::Uniqued && known
     }
 
-    fn arrive(&mut self, n: NewReq) {
-        let (c, new) = self.door.enter(n.customer);
-        let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
+    fn customer(&mut self, id: u64, plan: usize, spread: f64) -> usize {
+        let (c, new) = self.door.enter(id);
         if new {
-            let others = 0.5 * p.at_once as f64 * (1.0 - 1.0 / n.spread.max(1.0)); // until totals tell
-            self.customers.push(Customer::new(n.plan, p.burst, others, self.now, self.began));
+            let p = self.terms.plans[plan];
+            let others = 0.5 * p.at_once as f64 * (1.0 - 1.0 / spread); // until totals tell
+            self.customers.push(Customer::new(plan, spread, p.burst, others, self.now, self.began));
         }
+        c
+    }
+
+    fn arrive(&mut self, n: NewReq) {
+        let c = self.customer(n.customer, n.plan, n.spread.max(1.0));
+        let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
         self.customers[c].spread = n.spread.max(1.0);
         // A repeat counts from its first try: time left that the client timeout cut tells when that was.
         let most = &mut self.most_left[frontend];
@@ -249,18 +238,15 @@
         let (rated, cap) = (p.rate > 0.0, p.at_once as f64);
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
-        let hopeless =
-            self.waiting as f64 > (answers * self.patience(frontend, n.plan)).max(0.3 * self.limit).max(2.0);
+        let hopeless = self.line.waiting as f64
+            > (answers * self.patience(frontend, n.plan)).max(0.3 * self.limit).max(2.0);
         let past = cut && target < self.now.later(self.typical(frontend));
-        let need = if self.silent { self.need(c, n.units) } else { n.units };
-        let short = rated && self.room(c) < need;
+        let short = rated && self.room(c) < n.units;
         let (cust, crowd) = (&self.customers[c], self.crowd);
         let recent = cust.quota.seen.is_some_and(|s| self.now.since(s) < ROLL);
         // those known to be near their quota or cap, or back here soon, are asked for before the calm
-        let soon = cap > 0.0 && self.now < cust.free_at;
         let keep =
-            if cust.admit < 1.0 || short || soon { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }
-                .max(0.1);
+            if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
         let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
         // a total so fresh that no lease elsewhere will have come back
         let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
@@ -272,25 +258,14 @@
         let ask_quota = rated && asks;
         let no_units = short && (recent || !asks);
         let ask_lease = cap > 0.0 && asks;
-        let alone = cap > 0.0 && !asks && !self.silent;
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
         let charge = if rated { n.units * weight } else { 0.0 };
-        if past
-            || hopeless
-            || !through
-            || no_units
-            || cap > 0.0 && no_lease
-            || soon && alone
-            || !self.ceiling(c, n.units)
-        {
+        if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
         let share = if ask_quota { 1.0 } else { self.share(c) };
-        // half of what the cap lets through in the usual time, divided by the customer's gateways
-        let gap = 2.0 * self.typical(frontend) / cap.max(1.0) / self.share(c);
         let cust = &mut self.customers[c];
-        cust.free_at = if alone { self.now.later(gap) } else { cust.free_at };
         let leased = if cap > 0.0 { weight } else { 0.0 };
         cust.hold(1.0, leased);
         (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
@@ -322,43 +297,29 @@
         r.stage = Stage::Waiting;
         let (c, target, f) = (r.customer, r.target, r.frontend);
         self.wake(target - Span::from_secs(self.typical(f)), slot);
-        if self.customers[c].queue.is_empty() {
-            self.ring.push_back(c);
-        }
         // newest first: where a customer waits at all, its older reqs are the likelier to be late anyway
-        self.customers[c].queue.push_front(slot);
-        self.waiting += 1;
+        self.line.join(c, slot);
     }
 
     /// Weighted deficit round robin over customers (DESIGN).
     fn pump(&mut self) {
-        while let Some(&c) = self.ring.front() {
-            let Some(&slot) = self.customers[c].queue.front() else {
-                self.ring.pop_front();
-                self.customers[c].deficit = 0.0;
-                continue;
-            };
+        while let Some((c, slot)) = self.line.head() {
             let waits = |r: &Req| r.stage == Stage::Waiting && r.customer == c && r.end.is_none();
             if !self.reqs.at(slot).is_some_and(waits) {
-                self.customers[c].queue.pop_front();
-                self.waiting -= 1;
+                self.line.leave();
                 continue;
             }
             let free = (self.out as f64) < self.limit;
             let Some(srv) = Some(slot).filter(|_| free).and_then(|s| self.pick(s)) else { break };
-            let cust = &mut self.customers[c];
-            let p = &self.terms.plans[cust.plan];
+            let p = &self.terms.plans[self.customers[c].plan];
             // the weight: as many of the largest reqs as the plan lets a customer have out at once
             let weight = (p.burst / self.terms.largest).max(p.at_once as f64).max(1.0);
-            cust.deficit += if cust.deficit < 1.0 { weight - 1.0 } else { -1.0 };
-            cust.queue.pop_front();
-            self.waiting -= 1;
-            // second copies per first dispatch: the share that is overdue when all is well, and some more
-            self.copies = (self.copies + 0.15).min(10.0);
-            self.send(slot, srv);
-            if self.customers[c].deficit < 1.0 {
-                self.ring.rotate_left(1);
+            let deficit = self.line.leave();
+            *deficit += if *deficit < 1.0 { weight - 1.0 } else { -1.0 };
+            if *deficit < 1.0 {
+                self.line.turn();
             }
+            self.send(slot, srv);
         }
     }
 
@@ -434,15 +395,12 @@
             self.evidence(srv, (0.5 / self.late_share.clamp(0.05, 0.5)).ln());
         }
         // second copies only while the pool has room: where all is late, more load helps nobody
-        let copy = sick && running < 2 && self.copies >= 1.0 && self.ring.is_empty();
+        let copy = sick && running < 2 && self.line.waiting == 0;
         if running > 0 && !(copy && self.now < give_up && (self.out as f64) < self.limit) {
             return;
         }
         match self.pick(slot).filter(|_| self.now < give_up) {
-            Some(srv) => {
-                self.copies -= if running > 0 { 1.0 } else { 0.0 };
-                self.send(slot, srv);
-            }
+            Some(srv) => self.send(slot, srv),
             None if running > 0 => {}
             None if self.now < give_up && self.srvs.open().any(|i| self.may_go(slot, i)) => {
                 self.wake(self.now + Span::millis(20), slot)
@@ -464,7 +422,7 @@
         self.dirty.push(c);
         // the pool hears of answers, and of what was not answered in time with nobody to blame
         let took = e.took.secs();
-        let sound = self.distrust(srv) < 0.3 && self.srvs.pace[srv] < 2.5;
+        let sound = self.srvs.distrust[srv] < 0.3 && self.srvs.pace[srv] < 2.5;
         if sound && (e.how == Outcome::Passed || was_late && e.how == Outcome::Cancelled) {
             self.samples[f].push(took);
         }
@@ -544,7 +502,6 @@
         self.take_back(slot, false);
         let Some(r) = self.reqs.at_mut(slot) else { return };
         r.stage = Stage::Over;
-        r.running().for_each(|t| t.drop = true);
         self.touched.push(slot);
     }
 
@@ -565,64 +522,44 @@
         ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
     }
 
-    /// What the store must hold to let units in without an answer: half of them over the own share. At all of
-    /// them all gateways' slices never pass the store (DESIGN), but customers gathered on few starve. Most
-    /// of the burst is enough in any case, else a calm store would be shut to one of many gateways.
-    fn need(&self, c: usize, units: f64) -> f64 {
-        let most = 0.7 * self.terms.plans[self.customers[c].plan].burst;
-        (0.5 * units / self.share(c)).min(most).max(units)
-    }
-
     /// Without an answer: under the cap with what the others had out lately. One each at least would pass a
     /// small cap many times over where a customer comes in through many gateways.
     fn lease_alone(&self, c: usize, held: f64) -> bool {
         held + self.customers[c].lease.others <= self.terms.plans[self.customers[c].plan].at_once as f64 + 0.5
     }
 
-    /// While the counter is silent, one call each 200 ms: soon enough against two seconds of staleness. Over
-    /// all gateways a hundred a second at most, else the trials alone would keep a returning counter down.
-    fn trial(&mut self) -> Span {
-        let gap = (self.terms.gateways as f64 / 100.0).max(0.2);
-        Span::from_secs(gap * (0.75 + 0.5 * self.rng.f64()))
-    }
-
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
         const SILENT_AFTER: u32 = 3; // unanswered calls in a row: one or two happen on a crowded counter
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
-        // A crowded counter gets fewer calls: the more unanswered, the emptier a store has to be before its
-        // customer's reqs are judged there. One unanswered call weighs as much as 25 answered ones.
-        // a fresh gateway's first calls tell most: of hundreds none makes many before the counter is jammed
+        // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered ones (12 or more
+        // change nothing), and a fresh gateway's first most: of hundreds none makes many before the jam
         self.answers += 1.0;
         let miss = (1.0 / self.answers).max(0.1);
-        self.crowd =
-            if answered { (self.crowd - 0.004).max(0.0) } else { self.crowd + miss * (1.0 - self.crowd) };
+        let share = if answered { -0.004 } else { miss * (1.0 - self.crowd) };
+        self.crowd = (self.crowd + share).max(0.0);
         self.misses = if answered { 0 } else { self.misses + 1 };
-        if !std::mem::replace(&mut self.silent, self.misses >= SILENT_AFTER) {
-            self.trial_at = self.now + self.trial();
-        }
+        self.silent = self.misses >= SILENT_AFTER;
         let added = answered || how == Outcome::TimedOut;
-        let lease = call.lease;
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
         if answered {
-            self.steer(c, lease, over - call.joins.iter().map(|j| j.2).sum::<f64>());
+            self.steer(c, call.lease, over - call.joins.iter().map(|j| j.2).sum::<f64>());
         }
-        for &(slot, id, units) in call.joins.iter().rev() {
+        for &(slot, id, weight) in call.joins.iter().rev() {
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
             let Some(r) = self.reqs.at_mut(slot).filter(judged) else { continue };
             r.verdicts -= 1;
-            let (left, more) = (r.verdicts, if call.lease { r.leased - 1.0 } else { r.charge - r.units });
-            let own = r.units;
+            let (left, own) = (r.verdicts, if call.lease { 1.0 } else { r.units });
             let fits = match (answered, call.lease) {
-                (true, _) => over <= more + 1e-3,
+                (true, _) => over <= weight - own + 1e-3,
                 (_, true) => self.lease_alone(c, self.customers[c].held),
-                _ => self.room(c) + own >= self.need(c, own),
+                _ => self.room(c) >= 0.0,
             };
             // the own use is off `run` already; what the others use meanwhile goes off too
             let others = if answered || call.lease { 0.0 } else { own / self.share(c) - own };
             self.customers[c].run -= if fits { others } else { 0.0 };
-            over -= if fits { 0.0 } else { units };
+            over -= if fits { 0.0 } else { weight };
             match (fits, left) {
                 (false, _) => self.end(slot),
                 (true, 0) => self.admit(slot),
@@ -715,14 +652,11 @@
 
     fn heard(&mut self, body: &[u8]) {
         for News { customer, plan, part } in News::all(body) {
-            let Some(p) = self.terms.plans.get(plan) else { continue };
-            let (c, new) = self.door.enter(customer);
-            if new {
-                self.customers.push(Customer::new(plan, p.burst, 0.0, self.now, self.began));
-                self.customers[c].spread = self.terms.gateways.max(1) as f64;
+            if plan < self.terms.plans.len() {
+                let c = self.customer(customer, plan, self.terms.gateways.max(1) as f64);
+                let cust = &mut self.customers[c];
+                (cust.admit, cust.told, cust.steered) = (part, part, Some(self.now));
             }
-            let cust = &mut self.customers[c];
-            (cust.admit, cust.told, cust.steered) = (part, part, Some(self.now));
         }
     }
 
@@ -744,15 +678,13 @@
             if let Some(end) = r.end.clone().filter(|_| r.stage != Stage::Over) {
                 acts.push(end);
                 r.stage = Stage::Over;
-                r.running().for_each(|t| t.drop = true);
             }
-            for (nth, t) in r.tries.iter_mut().enumerate() {
-                if std::mem::take(&mut t.drop) && t.running && self.terms.may_cancel {
-                    acts.push(Action::Cancel { id: r.id, nth: nth as u16 });
-                }
+            let (id, over) = (r.id, r.stage == Stage::Over);
+            for (nth, t) in r.tries.iter_mut().enumerate().filter(|(_, t)| over && t.running && !t.dropped) {
+                t.dropped = true;
+                acts.extend(self.terms.may_cancel.then_some(Action::Cancel { id, nth: nth as u16 }));
             }
-            if r.stage == Stage::Over && !r.tries.iter().any(|t| t.running) {
-                let id = r.id;
+            if over && !r.tries.iter().any(|t| t.running) {
                 self.reqs.drop(id);
             }
         }
@@ -775,7 +707,9 @@
             if !self.terms.counter || self.now < self.trial_at {
                 return;
             }
-            self.trial_at = self.now + self.trial();
+            // one trial each 200 ms is soon enough against two seconds of staleness; over all gateways a
+            // hundred a second at most, else the trials alone would keep a returning counter down
+            self.trial_at = self.now.later((self.terms.gateways as f64 / 100.0).max(0.2));
         }
         let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
@@ -794,10 +728,7 @@
         }
         if p.at_once > 0 {
             let epoch = (now / ROLL) as u64;
-            if l.epoch != epoch {
-                l.put = if l.epoch + 1 == epoch { l.put_next } else { 0.0 };
-                (l.put_next, l.flying, l.total, l.epoch) = (0.0, 0.0, l.put, epoch);
-            }
+            l.roll(epoch);
             let (diff, ahead) = (cust.leased - l.put, cust.leased - l.put_next);
             if !l.joins.is_empty() || diff.abs() > 1e-6 {
                 (l.put, l.flying, l.called) = (l.put + diff, l.flying + diff, self.now);
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -1,6 +1,6 @@
 //! Plain state containers of the decision module.
 
-use crate::link::{Action, Terms};
+use crate::link::{Action, Group, Terms};
 use crate::time::Point;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -88,7 +88,7 @@
     pub running: bool,
     pub ran: bool,
     pub overdue: bool,
-    pub drop: bool,
+    pub dropped: bool,
 }
 
 #[derive(Debug, Default)]
@@ -129,6 +129,16 @@
     pub urgent: bool,
 }
 
+impl Account {
+    /// Goes to the name of another epoch; what was put there ahead is on it.
+    pub fn roll(&mut self, epoch: u64) {
+        if self.epoch != epoch {
+            self.put = if self.epoch + 1 == epoch { self.put_next } else { 0.0 };
+            (self.put_next, self.flying, self.total, self.epoch) = (0.0, 0.0, self.put, epoch);
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub struct Customer {
     pub plan: usize,
@@ -145,8 +155,6 @@
     pub held: f64,
     /// Those of them that the counter knows or is to know.
     pub leased: f64,
-    /// When a req may go out again without asking for a lease.
-    pub free_at: Point,
     pub ceiling: f64,
     pub ceiling_at: Point,
     /// The part of its reqs let through while the counter is crowded, and when that was last moved.
@@ -154,8 +162,6 @@
     pub steered: Option<Point>,
     /// What peers and this gateway last told each other of that part.
     pub told: f64,
-    pub queue: VecDeque<usize>,
-    pub deficit: f64,
 }
 
 impl Req {
@@ -169,9 +175,10 @@
     pub fn hold(&mut self, more: f64, leased: f64) {
         (self.held, self.leased) = (self.held + more, self.leased + leased);
     }
-    pub fn new(plan: usize, burst: f64, others: f64, now: Point, began: Point) -> Customer {
+    pub fn new(plan: usize, spread: f64, burst: f64, others: f64, now: Point, began: Point) -> Customer {
         Customer {
             plan,
+            spread,
             level: burst,
             level_at: now,
             run: burst,
@@ -193,6 +200,47 @@
     }
 }
 
+/// Waiters: a queue and a deficit by customer, the customers that have some in a ring.
+#[derive(Debug, Default)]
+pub struct Line {
+    pub waiting: usize,
+    ring: VecDeque<usize>,
+    queues: Vec<(VecDeque<usize>, f64)>,
+}
+
+impl Line {
+    /// Ahead of its customer's others.
+    pub fn join(&mut self, c: usize, slot: usize) {
+        self.queues.resize_with(self.queues.len().max(c + 1), Default::default);
+        if self.queues[c].0.is_empty() {
+            self.queues[c].1 = 0.0;
+            self.ring.retain(|&other| other != c);
+            self.ring.push_back(c);
+        }
+        self.queues[c].0.push_front(slot);
+        self.waiting += 1;
+    }
+    /// The waiter whose turn it is, and its customer.
+    pub fn head(&mut self) -> Option<(usize, usize)> {
+        while let Some(&c) = self.ring.front() {
+            if let Some(&slot) = self.queues[c].0.front() {
+                return Some((c, slot));
+            }
+            self.ring.pop_front();
+        }
+        None
+    }
+    /// Takes the head out; its customer's deficit.
+    pub fn leave(&mut self) -> &mut f64 {
+        let c = self.ring[0];
+        self.waiting -= self.queues[c].0.pop_front().map_or(0, |_| 1);
+        &mut self.queues[c].1
+    }
+    pub fn turn(&mut self) {
+        self.ring.rotate_left(1);
+    }
+}
+
 /// What gateways tell each other of a customer: the part of its reqs let through. Seven bytes each.
 pub struct News {
     pub customer: u64,
@@ -257,8 +305,6 @@
     /// Log likelihood ratio of sick to sound.
     pub evidence: Vec<f64>,
     pub distrust: Vec<f64>,
-    /// When distrust was last brought up to date.
-    pub faded: Vec<Point>,
     /// By srv and plan: the part of the credits left after answers that it is full.
     pub squeeze: Vec<f64>,
     pub plans: usize,
@@ -277,7 +323,6 @@
             self.ready.push(false);
             self.born.push(None);
             self.out.push(0);
-            self.faded.push(Point::default());
             for figures in
                 [&mut self.pace, &mut self.evidence, &mut self.distrust, &mut self.passed, &mut self.tokens]
             {
@@ -297,6 +342,13 @@
     pub fn squeeze(&mut self, i: usize, plan: usize) -> &mut f64 {
         &mut self.squeeze[i * self.plans + plan]
     }
+    pub fn same(&self, group: Group, a: usize, b: usize) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => self.zone[a] == self.zone[b],
+            Group::Cell => self.cell[a] == self.cell[b],
+        }
+    }
     /// The indices of the srvs that take new work.
     pub fn open(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.ready.len()).filter(|&i| self.ready[i])
@@ -329,9 +381,7 @@
     pub(crate) out: u32,
     /// The most that were out in this second.
     pub(crate) peak: f64,
-    pub(crate) waiting: usize,
-    /// customers with waiters.
-    pub(crate) ring: VecDeque<usize>,
+    pub(crate) line: Line,
     /// by frontend: time taken, smoothed.
     pub(crate) usual: Vec<f64>,
     /// by frontend: the longest time left that a req came with.
@@ -345,7 +395,6 @@
     pub(crate) full_frontend: Vec<f64>,
     pub(crate) late_share: f64,
     pub(crate) bad_share: f64,
-    pub(crate) copies: f64,
     pub(crate) second_at: Point,
     pub(crate) wakes: BinaryHeap<Reverse<(Point, usize)>>,
     pub(crate) armed: Option<Point>,
