Scenarios: newborn srv, few samples, a throttled plan, what peers tell

A fresh gateway's first unanswered call weighs a half, and the shares of full answers start at 0.2, so that few answers don't stand for a full pool.

--- a/src/control.rs
+++ b/src/control.rs
@@ -23,8 +23,8 @@
             usual: part(0.2),
             tail: part(0.5),
             most_left: part(0.0),
-            full_plan: vec![1.0; terms.plans.len()],
-            full_frontend: vec![1.0; terms.frontends.len()],
+            full_plan: vec![0.2; terms.plans.len()],
+            full_frontend: vec![0.2; terms.frontends.len()],
             samples: vec![Vec::new(); terms.frontends.len()],
             terms,
             ..Control::default()
@@ -535,7 +535,7 @@
         // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered ones (12 or more
         // change nothing), and a fresh gateway's first most: of hundreds none makes many before the jam
         self.answers += 1.0;
-        let miss = (1.0 / self.answers).max(0.1);
+        let miss = (1.0 / (1.0 + self.answers)).max(0.1);
         let share = if answered { -0.004 } else { miss * (1.0 - self.crowd) };
         self.crowd = (self.crowd + share).max(0.0);
         self.misses = if answered { 0 } else { self.misses + 1 };
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -390,7 +390,7 @@
     pub(crate) tail: Vec<f64>,
     pub(crate) samples: Vec<Vec<f64>>,
     pub(crate) full: u32,
-    /// by plan, and by frontend: the share of answers that a srv is full, smoothed; 1 before any.
+    /// by plan, and by frontend: the share of answers that a srv is full, smoothed.
     pub(crate) full_plan: Vec<f64>,
     pub(crate) full_frontend: Vec<f64>,
     pub(crate) late_share: f64,
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -1,7 +1,7 @@
 //! Plays the scenarios in `tests/scenarios`. A line `@T EVENT ...` plays timers up to T, then the event at T;
 //! `> TEXT` wants an action since that line that begins so, `! TEXT` none, `= N TEXT` just N.
 //! Events: `list KIND srv[,key=value..] ..`, `req ID key=value ..`, `total X` (to the oldest counter call),
-//! `silence` / `refuse` (all calls), `passed`/`error`/`full`/`lost`/`reset` ID/NTH key=value .., `wait`.
+//! `serve ID N passed|full key=value ..` (N reqs one after the other), `silence` / `refuse` (all calls), `peer BYTE,BYTE..`, `passed`/`error`/`full`/`lost`/`reset` ID/NTH key=value .., `wait`.
 
 use lupinledge::control::Control;
 use lupinledge::link::*;
@@ -53,6 +53,7 @@
     Plan {
         rate: num(w, "rate", 0.0),
         burst: num(w, "burst", 0.0),
+        price: num(w, "price", 1.0),
         at_once: num(w, "at_once", 0.0) as u32,
         overrun_value: 0.0,
         overrun_cost: 1.0,
@@ -73,6 +74,8 @@
         count_wait: Span::millis(50),
         largest: 1.0,
         settles: num(w, "settles", 0.0) > 0.0,
+        peers: num(w, "peers", 0.0) > 0.0,
+        peer_intake: 60.0,
         ask_list: num(w, "ask", 0.0) > 0.0,
         max_dispatches: 6,
         may_duplicate: num(w, "duplicate", 1.0) > 0.0,
@@ -121,6 +124,7 @@
                 Action::Deny { id, back_off } => format!("deny {id} after {:.2}", back_off.secs()),
                 Action::Abort { id } => format!("abort {id}"),
                 Action::Cancel { id, nth } => format!("cancel {id}/{nth}"),
+                Action::Tell { body, .. } => format!("tell {body:?}"),
                 other => format!("{other:?}").to_lowercase(),
             };
             self.log.push(line);
@@ -143,6 +147,20 @@
         let counted = |name, total, how| Event::Counted { name, total, how };
         let event = match w[0] {
             "wait" => return,
+            "serve" => {
+                let first: u64 = w[1].parse().expect("an id");
+                for id in first..first + w[2].parse::<u64>().expect("a number") {
+                    self.event(&[&["req", &id.to_string()], &w[4..]].concat());
+                    self.until(self.now + num(w, "took", 0.01));
+                    for nth in (0..9).take_while(|n| w[3] == "full" || *n == 0) {
+                        if self.sent.contains_key(&(id, nth)) {
+                            self.event(&[w[3], &format!("{id}/{nth}")]);
+                        }
+                    }
+                    self.event(&["left", &id.to_string()]);
+                }
+                return;
+            }
             "total" => {
                 let name = self.calls.pop_front().expect("a counter call");
                 counted(name, w[1].parse().expect("a total"), Outcome::Passed)
@@ -184,6 +202,10 @@
                 left: Span::from_secs(num(w, "left", 3.0)),
             }),
             "begun" => Event::Begun { id: w[1].parse().expect("an id"), nth: 0 },
+            "peer" => {
+                let body = w[1].split(',').map(|b| b.parse().expect("a byte")).collect();
+                Event::Peer { from: 1, body }
+            }
             "left" => Event::Left { id: w[1].parse().expect("an id") },
             word => {
                 let how = outcome(word).expect("a known event");
@@ -214,6 +236,10 @@
 #[test_case("queue"; "a full pool denies early")]
 #[test_case("many"; "a calm store is open to one of many gateways")]
 #[test_case("cells"; "uniqued reqs by cell and by all")]
+#[test_case("newborn"; "a srv just started gets no send from every gateway at once")]
+#[test_case("few"; "a limit with few samples moves")]
+#[test_case("throttle"; "a throttled plan is no full pool")]
+#[test_case("peers"; "what peers told of a customer counts here")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
