--- a/src/control.rs
+++ b/src/control.rs
@@ -68,14 +68,8 @@
         self.wakes.push(Reverse((at, slot)));
     }
 
-    /// AIMD on the pool limit (DESIGN). Samples of srvs under suspicion are left out in `ended`, since a few
-    /// sick srvs say nothing of the room in the others.  Places that nobody used don't raise the limit and don't dull a cut.
     fn second(&mut self) {
-        let seen: usize = self.full as usize + self.samples.iter().map(Vec::len).sum::<usize>();
-        // the source: too few samples, no move. One of many gateways waits until it has enough
-        if seen >= 10 {
-            self.decide(seen as f64);
-        }
+        self.decide();
         self.srvs.squeeze.iter_mut().for_each(|s| *s = (*s * 1.2).min(1.0));
         // Sends a second that a cold srv may get from here: half the rule's budget over what warm srvs answer,
         // which is within their capacity. Own answers count only, so all gateways' parts add up
@@ -94,11 +88,15 @@
         }
     }
 
-    fn decide(&mut self, seen: f64) {
-        let mut late = false;
+    /// AIMD on the pool limit (DESIGN) once there are samples enough: one of many gateways waits for them.
+    /// Those of suspects are left out in `ended`. Unused places don't raise the limit and don't dull a cut.
+    fn decide(&mut self) {
+        let (mut late, seen) = (false, self.full as usize + self.samples.iter().map(Vec::len).sum::<usize>());
+        if seen < 10 {
+            return;
+        }
         for (f, s) in self.samples.iter_mut().enumerate() {
-            // the 95th percentile is past the target when more than 5% are; one standard deviation on top,
-            // else few samples cut the limit for one long req
+            // more than 5% past the target; one standard deviation on top, else one long req of few cuts it
             if s.len() >= 10 {
                 s.sort_by(f64::total_cmp);
                 let (n, target) = (s.len() as f64, self.terms.frontends[f].target.secs());
@@ -108,12 +106,12 @@
             s.clear();
         }
         let (start, passed) = (self.start(), self.now.since(self.decided).min(5.0));
-        // answers "full" to some plans or frontends only are a srv's throttle, and no sign of a full pool
+        // full to some plans or frontends only is a srv's throttle and no full pool
         let everywhere = self.full_plan.iter().chain(&self.full_frontend).all(|share| *share > 0.1);
-        if late || self.full as f64 > 0.1 * seen && everywhere {
+        if late || self.full as f64 > 0.1 * seen as f64 && everywhere {
             self.limit = self.limit.min(self.peak) * 0.7;
         } else if self.peak > 0.5 * self.limit {
-            // the source adds one for its whole pool: each gateway its part
+            // the source's one for the whole pool
             self.limit += passed / self.terms.gateways.max(1) as f64;
         }
         // never under about one req a core, where chance alone would keep srvs idle
@@ -141,8 +139,7 @@
         self.limit = if before == 0.0 { self.start() } else { self.limit * ready / before };
     }
 
-    /// DESIGN: the pool starts at a set figure per ready srv. All gateways together send there, so the figure
-    /// is divided by them; it climbs where that is used up. Two and four a srv are no better on any site.
+    /// DESIGN: a set figure per ready srv, here of all gateways together. Two and four are no better anywhere.
     fn start(&self) -> f64 {
         3.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
@@ -154,8 +151,7 @@
         (self.terms.cold_from + (1.0 - self.terms.cold_from) * part).min(1.0)
     }
 
-    /// The sequential test: evidence adds up, never below nothing; a conviction is distrust, which fades;
-    /// what is out at a convicted srv is looked at again, whatever made it sick.
+    /// The sequential test; a conviction is distrust, and what is out at that srv is looked at again.
     fn evidence(&mut self, i: usize, weight: f64) {
         const CONVICTED: f64 = 6.9; // odds of 1000 to 1; at many gateways lower odds are no better
         self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
@@ -174,8 +170,7 @@
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.srvs.distrust[i], self.warmth(i));
-            // a cold srv is a choice like others, but only so often as it can work: with few reqs out at each
-            // of many gateways there is always an idle warm one, and it would get none
+            // a cold srv is a choice as often as it can work: one of many gateways always has an idle warm one
             let cold = warm < 1.0 && (self.srvs.tokens[i] < 1.0 || self.rng.f64() > warm);
             if cold || !self.may_go(slot, i) {
                 continue;
@@ -183,8 +178,7 @@
             let squeeze = *self.srvs.squeeze(i, plan);
             let s = &self.srvs;
             let credit = base * squeeze * (1.0 - distrust).powi(2) / s.pace[i].clamp(0.7, 10.0);
-            // whole credits: a convicted srv gets none until half its distrust faded, then one as a trial;
-            // a few credits at the least elsewhere, or spread in the work alone would leave srvs idle
+            // whole credits: none at half distrust, then one as a trial; two elsewhere, whatever the limit
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
             let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
@@ -279,8 +273,7 @@
         }
     }
 
-    /// The hard ceiling is kept as a slice of each gateway, empty at a start: whatever a killed predecessor
-    /// took, all slices together never pass the whole.
+    /// The hard ceiling: each gateway's slice, empty at a start, since a killed predecessor may have used it.
     fn ceiling(&mut self, c: usize, units: f64) -> bool {
         let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
@@ -344,8 +337,8 @@
         self.usual[f].min(0.5 * self.terms.frontends[f].target.secs())
     }
 
-    /// How long a req may wait for the pool: until its target is out of reach, and not so long that frontends
-    /// with clearly more value in their time would be late behind it. It acts only while the pool is full.
+    /// How long a req may wait for the pool: until its target is out of reach, and less where frontends with
+    /// clearly more value in their time, or clearly dearer plans, would be late behind it.
     fn patience(&self, f: usize, plan: usize) -> f64 {
         let slack = |g: usize| self.terms.frontends[g].target.secs() - self.typical(g);
         let dense = |g: usize| self.terms.frontends[g].value / self.usual[g].max(1e-3);
@@ -514,16 +507,15 @@
         cust.run
     }
 
-    /// This gateway's recent part of the customer's use; an even split where little was seen. It replaces the
-    /// even split of DESIGN while the counter is silent, else customers gathered on few gateways starve.
+    /// This gateway's recent part of the customer's use. It replaces DESIGN's even split, at which customers
+    /// gathered on few gateways starve; it is even where little was seen.
     fn share(&self, c: usize) -> f64 {
         let cust = &self.customers[c];
         let prior = 0.5 * self.terms.plans[cust.plan].burst.max(1.0);
         ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
     }
 
-    /// Without an answer: under the cap with what the others had out lately. One each at least would pass a
-    /// small cap many times over where a customer comes in through many gateways.
+    /// Without an answer: under the cap with what the others had lately. One each would pass it many times.
     fn lease_alone(&self, c: usize, held: f64) -> bool {
         held + self.customers[c].lease.others <= self.terms.plans[self.customers[c].plan].at_once as f64 + 0.5
     }
@@ -557,8 +549,8 @@
                 _ => self.room(c) >= 0.0,
             };
             // the own use is off `run` already; what the others use meanwhile goes off too
-            let others = if answered || call.lease { 0.0 } else { own / self.share(c) - own };
-            self.customers[c].run -= if fits { others } else { 0.0 };
+            let others = if answered || call.lease || !fits { 0.0 } else { own / self.share(c) - own };
+            self.customers[c].run -= others;
             over -= if fits { 0.0 } else { weight };
             match (fits, left) {
                 (false, _) => self.end(slot),
@@ -568,8 +560,8 @@
         }
     }
 
-    /// Reads the store out of a total; returns by how much it is overdrawn. How much of the fill a full store
-    /// lost is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
+    /// Reads the store out of a total; returns by how much it is overdrawn. What a full store lost of its fill
+    /// is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
     fn quota_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
         let cust = &mut self.customers[call.customer];
         let (p, q) = (&self.terms.plans[cust.plan], &mut cust.quota);
@@ -698,8 +690,8 @@
         }
     }
 
-    /// A customer's adds: only names that its plan needs; corrections go with the next add where nobody waits
-    /// for them. Held leases go to the next name ahead of it; they stay in the old one, not asked again.
+    /// A customer's adds: only names that its plan needs, corrections with the next add. Held leases go to the
+    /// next name ahead of it; they stay in the old one, not asked again.
     fn put_counts(&mut self, c: usize, acts: &mut Vec<Action>) {
         let (now, share) = (self.now.secs(), self.share(c));
         let cust = &self.customers[c];
@@ -707,16 +699,14 @@
             if !self.terms.counter || self.now < self.trial_at {
                 return;
             }
-            // one trial each 200 ms is soon enough against two seconds of staleness; over all gateways a
-            // hundred a second at most, else the trials alone would keep a returning counter down
+            // a trial each 200 ms, a hundred a second over all gateways: more would keep a counter down
             self.trial_at = self.now.later((self.terms.gateways as f64 / 100.0).max(0.2));
         }
         let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
         let (q, l) = (&mut cust.quota, &mut cust.lease);
         let mut calls = Vec::new();
-        // after a silence only what the store still lacks is told: the rest has filled up again, and told
-        // all at once by each gateway it would shut the customer out for as long as the silence was
+        // after a silence only what the store still lacks: the rest has filled up again
         let overdue = q.owed > 0.5 * self.crowd * p.burst && self.now.since(q.called) > 1.0;
         let stale = q.seen.is_none_or(|s| self.now.since(s) > ROLL);
         let lack = q.joins.iter().map(|j| j.2).sum::<f64>() + share * (p.burst - cust.run).max(0.0);
