--- a/src/control.rs
+++ b/src/control.rs
@@ -71,13 +71,13 @@
     fn second(&mut self) {
         self.decide();
         self.srvs.squeeze.iter_mut().for_each(|s| *s = (*s * 1.2).min(1.0));
-        // Sends a second that a cold srv may get from here: half the rule's budget over what warm srvs answer,
-        // which is within their capacity. Own answers count only, so all gateways' parts add up
+        // Sends a second that a cold srv may get from here: half the rule's budget over what warm srvs
+        // answer, which is within their capacity. Own answers count only, so all gateways' parts add up
         let warm: Vec<usize> = self.srvs.open().filter(|&i| self.warmth(i) >= 1.0).collect();
         let each = warm.iter().map(|&i| self.srvs.passed[i] / 4.0).sum::<f64>() / warm.len().max(1) as f64;
         for i in 0..self.srvs.ready.len() {
-            let rate = 0.5 * self.terms.fall_multiple * self.warmth(i) * each;
-            let rate = rate.max(1.0 / self.terms.gateways.max(1) as f64); // one over all, where nothing is known
+            let least = 1.0 / self.terms.gateways.max(1) as f64; // where nothing is known
+            let rate = (0.5 * self.terms.fall_multiple * self.warmth(i) * each).max(least);
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
             let s = &mut self.srvs;
             s.tokens[i] = (s.tokens[i] + rate).min(most);
@@ -111,8 +111,7 @@
         if late || self.full as f64 > 0.1 * seen as f64 && everywhere {
             self.limit = self.limit.min(self.peak) * 0.7;
         } else if self.peak > 0.5 * self.limit {
-            // the source's one for the whole pool
-            self.limit += passed / self.terms.gateways.max(1) as f64;
+            self.limit += passed / self.terms.gateways.max(1) as f64; // the source's one for the whole pool
         }
         // never under about one req a core, where chance alone would keep srvs idle
         (self.limit, self.full, self.peak) = (self.limit.max(0.6 * start), 0, self.out as f64);
@@ -139,7 +138,7 @@
         self.limit = if before == 0.0 { self.start() } else { self.limit * ready / before };
     }
 
-    /// DESIGN: a set figure per ready srv, here of all gateways together. Two and four are no better anywhere.
+    /// DESIGN: a set figure per ready srv, of all gateways together. Two and four are no better anywhere.
     fn start(&self) -> f64 {
         3.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
@@ -157,8 +156,7 @@
         self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
         if self.srvs.evidence[i] >= CONVICTED {
             (self.srvs.evidence[i], self.srvs.distrust[i]) = (CONVICTED / 2.0, 1.0);
-            let slots = self.reqs.running_at(i);
-            self.wakes.extend(slots.into_iter().map(|slot| Reverse((self.now, slot))));
+            self.wakes.extend(self.reqs.running_at(i).into_iter().map(|slot| Reverse((self.now, slot))));
         }
     }
 
@@ -170,7 +168,7 @@
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.srvs.distrust[i], self.warmth(i));
-            // a cold srv is a choice as often as it can work: one of many gateways always has an idle warm one
+            // a cold srv is a choice as often as it can work: there always is an idle warm one at many gateways
             let cold = warm < 1.0 && (self.srvs.tokens[i] < 1.0 || self.rng.f64() > warm);
             if cold || !self.may_go(slot, i) {
                 continue;
@@ -237,30 +235,24 @@
         let past = cut && target < self.now.later(self.typical(frontend));
         let short = rated && self.room(c) < n.units;
         let (cust, crowd) = (&self.customers[c], self.crowd);
-        let recent = cust.quota.seen.is_some_and(|s| self.now.since(s) < ROLL);
+        let recent = cust.quota.fresh(self.now, ROLL);
         // those known to be near their quota or cap, or back here soon, are asked for before the calm
         let keep =
             if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
-        let age = cust.lease.seen.map_or(f64::MAX, |s| self.now.since(s));
-        // a total so fresh that no lease elsewhere will have come back
-        let full = age < 0.03 && cust.lease.total + cust.lease.flying >= cap || cust.held >= cap;
-        let no_lease = full || self.silent && !self.lease_alone(c, cust.held + 1.0);
+        let no_lease = cust.held >= cap || self.silent && !self.lease_alone(c, cust.held + 1.0);
         // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
         let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
         let through = crowd < 0.1 || self.rng.f64() < cust.admit * back;
         let asks = !self.silent && self.rng.f64() < keep;
-        let ask_quota = rated && asks;
-        let no_units = short && (recent || !asks);
-        let ask_lease = cap > 0.0 && asks;
+        let (ask_quota, ask_lease, no_units) = (rated && asks, cap > 0.0 && asks, short && (recent || !asks));
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
-        let charge = if rated { n.units * weight } else { 0.0 };
+        let (charge, leased) = (rated as u8 as f64 * n.units * weight, (cap > 0.0) as u8 as f64 * weight);
         if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
         let share = if ask_quota { 1.0 } else { self.share(c) };
         let cust = &mut self.customers[c];
-        let leased = if cap > 0.0 { weight } else { 0.0 };
         cust.hold(1.0, leased);
         (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
         cust.quota.joins.extend(Some((slot, n.id, charge)).filter(|_| ask_quota));
@@ -317,9 +309,7 @@
     }
 
     fn send(&mut self, slot: usize, srv: usize) {
-        if self.warmth(srv) < 1.0 {
-            self.srvs.tokens[srv] -= 1.0;
-        }
+        self.srvs.tokens[srv] -= 1.0; // counts while it is cold
         let Some(r) = self.reqs.at_mut(slot) else { return };
         if r.stage == Stage::Out {
             self.customers[r.customer].hold(1.0, r.leased); // the first dispatch has the lease of the queue
@@ -342,8 +332,7 @@
     fn patience(&self, f: usize, plan: usize) -> f64 {
         let slack = |g: usize| self.terms.frontends[g].target.secs() - self.typical(g);
         let dense = |g: usize| self.terms.frontends[g].value / self.usual[g].max(1e-3);
-        let price = |p: usize| self.terms.plans[p].price;
-        let dearer = (0..self.terms.plans.len()).any(|p| price(p) > 1.5 * price(plan));
+        let dearer = self.terms.plans.iter().any(|p| p.price > 1.5 * self.terms.plans[plan].price);
         let denser = (0..self.usual.len()).filter(|&g| dearer || dense(g) > 1.5 * dense(f));
         denser.map(|g| 0.3 * slack(g)).fold(slack(f), f64::min)
     }
@@ -507,8 +496,7 @@
         cust.run
     }
 
-    /// This gateway's recent part of the customer's use. It replaces DESIGN's even split, at which customers
-    /// gathered on few gateways starve; it is even where little was seen.
+    /// Own recent part of the customer's use: at DESIGN's even split, customers gathered on few would starve.
     fn share(&self, c: usize) -> f64 {
         let cust = &self.customers[c];
         let prior = 0.5 * self.terms.plans[cust.plan].burst.max(1.0);
@@ -521,17 +509,15 @@
     }
 
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
-        const SILENT_AFTER: u32 = 3; // unanswered calls in a row: one or two happen on a crowded counter
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
-        // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered ones (12 or more
-        // change nothing), and a fresh gateway's first most: of hundreds none makes many before the jam
+        // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered (12 or 50 change
+        // little), and a fresh gateway's first most: of hundreds none makes many before the jam
         self.answers += 1.0;
-        let miss = (1.0 / (1.0 + self.answers)).max(0.1);
-        let share = if answered { -0.004 } else { miss * (1.0 - self.crowd) };
-        self.crowd = (self.crowd + share).max(0.0);
+        let miss = (1.0 / (1.0 + self.answers)).max(0.1) * (1.0 - self.crowd);
+        self.crowd = (self.crowd + if answered { -0.004 } else { miss }).max(0.0);
         self.misses = if answered { 0 } else { self.misses + 1 };
-        self.silent = self.misses >= SILENT_AFTER;
+        self.silent = self.misses >= 3; // one or two in a row happen on a crowded counter
         let added = answered || how == Outcome::TimedOut;
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
@@ -560,15 +546,13 @@
         }
     }
 
-    /// Reads the store out of a total; returns by how much it is overdrawn. What a full store lost of its fill
-    /// is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
+    /// Reads the store out of a total; returns by how much it is overdrawn. What a full store lost of its
+    /// fill is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
     fn quota_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
         let cust = &mut self.customers[call.customer];
         let (p, q) = (&self.terms.plans[cust.plan], &mut cust.quota);
         q.flying -= call.amount;
-        if !answered {
-            q.owed += if added { 0.0 } else { call.amount };
-        }
+        q.owed += if added { 0.0 } else { call.amount };
         if !answered || call.epoch < q.epoch {
             return (-cust.level).max(0.0);
         }
@@ -576,7 +560,6 @@
         let fell = q.total - total + call.amount > (2.0 * self.terms.largest).max(0.5 * q.total);
         let anew = call.epoch > q.epoch || q.seen.is_none() || fell;
         let delta = if anew { total } else { total - q.total };
-        let others = delta - call.amount;
         let since = if q.seen.is_none() { self.now.secs() % WINDOW } else { self.now.since(cust.level_at) };
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
         let all = cust.level + p.rate * since;
@@ -587,7 +570,7 @@
         (cust.level_at, cust.run_at, cust.run) = (self.now, self.now, cust.level - q.flying - q.owed);
         let keep = (-since / SHARE_MEMORY).exp();
         cust.own = cust.own * keep + call.amount.max(0.0);
-        cust.all = cust.all * keep + call.amount.max(0.0) + others.max(0.0);
+        cust.all = cust.all * keep + call.amount.max(0.0) + (delta - call.amount).max(0.0);
         (-cust.level).max(0.0)
     }
 
@@ -595,23 +578,17 @@
     fn lease_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
         let cust = &mut self.customers[call.customer];
         let (p, l) = (&self.terms.plans[cust.plan], &mut cust.lease);
-        if call.epoch != l.epoch {
-            l.put_next -= if !added && call.epoch > l.epoch { call.amount } else { 0.0 };
-            return 0.0;
-        }
-        l.flying -= call.amount;
-        if !answered {
-            l.put -= if added { 0.0 } else { call.amount };
+        let put = if call.epoch == l.epoch { &mut l.put } else { &mut l.put_next };
+        *put -= if added || call.epoch < l.epoch { 0.0 } else { call.amount };
+        if !answered || call.epoch != l.epoch {
             return 0.0;
         }
         blend(&mut l.others, (total - l.put).max(0.0), 0.2);
-        (l.total, l.seen) = (total, Some(self.now));
         (total - p.at_once as f64).max(0.0)
     }
 
-    /// The part of a customer's reqs that is let through while the counter is crowded: cut when a total is
-    /// past its quota or cap, raised when much is left. Peers are told, who may meet the customer long
-    /// before their own next total; all gateways together stay within what one takes in.
+    /// The part of a customer's reqs let through while the counter is crowded: cut when a total is past its
+    /// quota or cap, raised when much is left. Peers, who may meet it before their own next total, are told.
     fn steer(&mut self, c: usize, lease: bool, over: f64) {
         let (now, cust) = (self.now, &mut self.customers[c]);
         let p = &self.terms.plans[cust.plan];
@@ -624,8 +601,7 @@
             _ => return,
         };
         (cust.admit, cust.steered) = ((cust.admit * by).clamp(0.02, 1.0), Some(now));
-        let far = (cust.admit / cust.told).ln().abs() > 0.35;
-        self.news.extend(Some(c).filter(|c| far && self.terms.peers && !self.news.contains(c)));
+        self.news.extend(Some(c).filter(|c| self.terms.peers && !self.news.contains(c)));
     }
 
     fn tell(&mut self, acts: &mut Vec<Action>) {
@@ -634,21 +610,19 @@
         }
         let mut body = Vec::new();
         for c in std::mem::take(&mut self.news).into_iter().take(News::MOST) {
-            let cust = &mut self.customers[c];
-            cust.told = cust.admit;
+            let cust = &self.customers[c];
             body.extend(News { customer: self.door.id(c), plan: cust.plan, part: cust.admit }.bytes());
         }
+        // all gateways together stay within what one takes in
         self.tell_at = self.now.later(self.terms.gateways as f64 / (0.7 * self.terms.peer_intake).max(1e-3));
         acts.push(Action::Tell { to: None, body });
     }
 
     fn heard(&mut self, body: &[u8]) {
-        for News { customer, plan, part } in News::all(body) {
-            if plan < self.terms.plans.len() {
-                let c = self.customer(customer, plan, self.terms.gateways.max(1) as f64);
-                let cust = &mut self.customers[c];
-                (cust.admit, cust.told, cust.steered) = (part, part, Some(self.now));
-            }
+        let plans = self.terms.plans.len();
+        for n in News::all(body).filter(|n| n.plan < plans) {
+            let c = self.customer(n.customer, n.plan, self.terms.gateways.max(1) as f64);
+            (self.customers[c].admit, self.customers[c].steered) = (n.part, Some(self.now));
         }
     }
 
@@ -690,8 +664,8 @@
         }
     }
 
-    /// A customer's adds: only names that its plan needs, corrections with the next add. Held leases go to the
-    /// next name ahead of it; they stay in the old one, not asked again.
+    /// A customer's adds: only names that its plan needs, corrections with the next add. Held leases go to
+    /// the next name ahead of it; they stay in the old one, not asked again.
     fn put_counts(&mut self, c: usize, acts: &mut Vec<Action>) {
         let (now, share) = (self.now.secs(), self.share(c));
         let cust = &self.customers[c];
@@ -708,11 +682,11 @@
         let mut calls = Vec::new();
         // after a silence only what the store still lacks: the rest has filled up again
         let overdue = q.owed > 0.5 * self.crowd * p.burst && self.now.since(q.called) > 1.0;
-        let stale = q.seen.is_none_or(|s| self.now.since(s) > ROLL);
         let lack = q.joins.iter().map(|j| j.2).sum::<f64>() + share * (p.burst - cust.run).max(0.0);
         let back = q.urgent && q.owed.abs() > 1e-6; // a charge that was turned away is no debt
         if p.rate > 0.0 && (!q.joins.is_empty() || back || self.silent || overdue) {
-            let amount = std::mem::take(&mut q.owed).min(if stale { lack } else { f64::MAX });
+            let amount =
+                std::mem::take(&mut q.owed).min(if q.fresh(self.now, ROLL) { f64::MAX } else { lack });
             (q.urgent, q.called, q.flying) = (false, self.now, q.flying + amount);
             calls.push((false, (now / WINDOW) as u64, amount, std::mem::take(&mut q.joins)));
         }
@@ -721,7 +695,7 @@
             l.roll(epoch);
             let (diff, ahead) = (cust.leased - l.put, cust.leased - l.put_next);
             if !l.joins.is_empty() || diff.abs() > 1e-6 {
-                (l.put, l.flying, l.called) = (l.put + diff, l.flying + diff, self.now);
+                l.put += diff;
                 calls.push((true, epoch, diff, std::mem::take(&mut l.joins)));
             }
             if now % ROLL > ROLL - LEAD && ahead.abs() > 1e-6 {
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -130,11 +130,14 @@
 }
 
 impl Account {
+    pub fn fresh(&self, now: Point, secs: f64) -> bool {
+        self.seen.is_some_and(|s| now.since(s) < secs)
+    }
     /// Goes to the name of another epoch; what was put there ahead is on it.
     pub fn roll(&mut self, epoch: u64) {
         if self.epoch != epoch {
             self.put = if self.epoch + 1 == epoch { self.put_next } else { 0.0 };
-            (self.put_next, self.flying, self.total, self.epoch) = (0.0, 0.0, self.put, epoch);
+            (self.put_next, self.epoch) = (0.0, epoch);
         }
     }
 }
@@ -160,8 +163,6 @@
     /// The part of its reqs let through while the counter is crowded, and when that was last moved.
     pub admit: f64,
     pub steered: Option<Point>,
-    /// What peers and this gateway last told each other of that part.
-    pub told: f64,
 }
 
 impl Req {
@@ -184,7 +185,6 @@
             run: burst,
             run_at: now,
             admit: 1.0,
-            told: 1.0,
             ceiling_at: began,
             lease: Account { others, ..Account::default() },
             ..Customer::default()
