--- a/src/control.rs
+++ b/src/control.rs
@@ -168,7 +168,7 @@
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.srvs.distrust[i], self.warmth(i));
-            // a cold srv is a choice as often as it can work: there always is an idle warm one at many gateways
+            // a cold srv is a choice as often as it can work: one of many gateways has an idle warm one always
             let cold = warm < 1.0 && (self.srvs.tokens[i] < 1.0 || self.rng.f64() > warm);
             if cold || !self.may_go(slot, i) {
                 continue;
@@ -511,8 +511,8 @@
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
-        // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered (12 or 50 change
-        // little), and a fresh gateway's first most: of hundreds none makes many before the jam
+        // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered (50: no change), and
+        // a fresh gateway's first ones most: of hundreds none makes many before the jam
         self.answers += 1.0;
         let miss = (1.0 / (1.0 + self.answers)).max(0.1) * (1.0 - self.crowd);
         self.crowd = (self.crowd + if answered { -0.004 } else { miss }).max(0.0);
