--- a/src/control.rs
+++ b/src/control.rs
@@ -294,7 +294,7 @@
                 self.line.leave();
                 continue;
             }
-            let free = ((self.out - self.spared()) as f64) < self.limit;
+            let free = (self.out as f64) < self.limit;
             let Some(srv) = Some(slot).filter(|_| free).and_then(|s| self.pick(s)) else { break };
             let p = &self.terms.plans[self.customers[c].plan];
             // the weight: as many of the largest reqs as the plan lets a customer have out at once
@@ -337,10 +337,6 @@
         denser.map(|g| 0.3 * slack(g)).fold(slack(f), f64::min)
     }
 
-    fn spared(&self) -> u32 {
-        self.stuck.min((self.late_share < 0.2) as u32)
-    }
-
     fn overdue_after(&self, f: usize) -> f64 {
         let target = self.terms.frontends[f].target.secs();
         (1.2 * self.tail[f]).clamp(0.25 * target, 0.6 * target)
@@ -369,7 +365,6 @@
             let gone = self.now.since(t.sent);
             if gone >= after && !t.overdue {
                 t.overdue = true;
-                self.stuck += 1;
                 late.push((t.srv, gone / self.usual[f].max(1e-3)));
             }
             running += 1;
@@ -383,7 +378,7 @@
         }
         // second copies only while the pool has room: where all is late, more load helps nobody
         let copy = sick && running < 2 && self.line.waiting == 0;
-        if running > 0 && !(copy && self.now < give_up && ((self.out - self.spared()) as f64) < self.limit) {
+        if running > 0 && !(copy && self.now < give_up && (self.out as f64) < self.limit) {
             return;
         }
         match self.pick(slot).filter(|_| self.now < give_up) {
@@ -404,7 +399,6 @@
         t.running = false;
         t.ran = !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
         let (srv, was_late, sent) = (t.srv, t.overdue, t.sent);
-        self.stuck -= was_late as u32;
         (self.srvs.out[srv], self.out) = (self.srvs.out[srv] - 1, self.out - 1);
         self.customers[c].hold(-1.0, -leased);
         self.dirty.push(c);
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -379,8 +379,6 @@
     pub(crate) limit: f64,
     pub(crate) decided: Point,
     pub(crate) out: u32,
-    /// Dispatches out that are overdue.
-    pub(crate) stuck: u32,
     /// The most that were out in this second.
     pub(crate) peak: f64,
     pub(crate) line: Line,
