--- a/src/control.rs
+++ b/src/control.rs
@@ -32,6 +32,8 @@
     }
 
     pub fn round(&mut self, now: Point, events: Vec<Event>, acts: &mut Vec<Action>) {
+        // what was out over the last two seconds
+        blend(&mut self.used, self.out as f64, 1.0 - (-0.5 * now.since(self.now)).exp());
         self.now = now;
         self.began = if self.began == Point::default() { now } else { self.began };
         for e in events {
@@ -294,7 +296,7 @@
                 self.line.leave();
                 continue;
             }
-            let free = (self.out as f64) < self.limit;
+            let free = (self.out as f64) < self.limit + (self.limit - self.used).clamp(0.0, 1.0);
             let Some(srv) = Some(slot).filter(|_| free).and_then(|s| self.pick(s)) else { break };
             let p = &self.terms.plans[self.customers[c].plan];
             // the weight: as many of the largest reqs as the plan lets a customer have out at once
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -379,6 +379,8 @@
     pub(crate) limit: f64,
     pub(crate) decided: Point,
     pub(crate) out: u32,
+    /// The same, averaged over the last seconds.
+    pub(crate) used: f64,
     /// The most that were out in this second.
     pub(crate) peak: f64,
     pub(crate) line: Line,
