--- a/src/control.rs
+++ b/src/control.rs
@@ -32,7 +32,6 @@
     }
 
     pub fn round(&mut self, now: Point, events: Vec<Event>, acts: &mut Vec<Action>) {
-        // what was out over the last two seconds
         blend(&mut self.used, self.out as f64, 1.0 - (-0.5 * now.since(self.now)).exp());
         self.now = now;
         self.began = if self.began == Point::default() { now } else { self.began };
@@ -66,10 +65,6 @@
         self.settle(acts);
     }
 
-    fn wake(&mut self, at: Point, slot: usize) {
-        self.wakes.push(Reverse((at, slot)));
-    }
-
     fn second(&mut self) {
         self.decide();
         self.srvs.squeeze.iter_mut().for_each(|s| *s = (*s * 1.2).min(1.0));
@@ -170,7 +165,7 @@
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.srvs.distrust[i], self.warmth(i));
-            // a cold srv is a choice as often as it can work: one of many gateways has an idle warm one always
+            // a cold srv is a choice as often as it can work: one of many gateways always has a warm one idle
             let cold = warm < 1.0 && (self.srvs.tokens[i] < 1.0 || self.rng.f64() > warm);
             if cold || !self.may_go(slot, i) {
                 continue;
@@ -228,7 +223,7 @@
         let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
         let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
         let slot = self.reqs.put(n.id, r);
-        self.wake(ends, slot);
+        self.wakes.push(Reverse((ends, slot)));
         let (rated, cap) = (p.rate > 0.0, p.at_once as f64);
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
@@ -283,12 +278,13 @@
         let Some(r) = self.reqs.at_mut(slot) else { return };
         r.stage = Stage::Waiting;
         let (c, target, f) = (r.customer, r.target, r.frontend);
-        self.wake(target - Span::from_secs(self.typical(f)), slot);
+        self.wakes.push(Reverse((target - Span::from_secs(self.typical(f)), slot)));
         // newest first: where a customer waits at all, its older reqs are the likelier to be late anyway
         self.line.join(c, slot);
     }
 
-    /// Weighted deficit round robin over customers (DESIGN).
+    /// Weighted deficit round robin over customers (DESIGN). The limit is held on average, by one place at
+    /// the most: else reqs wait at the one place of a gateway while the others' stand free.
     fn pump(&mut self) {
         while let Some((c, slot)) = self.line.head() {
             let waits = |r: &Req| r.stage == Stage::Waiting && r.customer == c && r.end.is_none();
@@ -356,8 +352,9 @@
         if self.now >= r.ends || stage == Stage::Waiting && self.now >= give_up {
             return self.end(slot);
         }
+        let soon = self.now + Span::millis(5);
         match stage {
-            Stage::Waiting => return self.wake(give_up.max(self.now + Span::millis(5)), slot),
+            Stage::Waiting => return self.wakes.push(Reverse((give_up.max(soon), slot))),
             Stage::Out => {}
             _ => return,
         }
@@ -387,7 +384,7 @@
             Some(srv) => self.send(slot, srv),
             None if running > 0 => {}
             None if self.now < give_up && self.srvs.open().any(|i| self.may_go(slot, i)) => {
-                self.wake(self.now + Span::millis(20), slot)
+                self.wakes.push(Reverse((self.now + Span::millis(20), slot)))
             }
             None => self.end(slot),
         }
@@ -513,8 +510,8 @@
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
-        // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered (50: no change), and
-        // a fresh gateway's first ones most: of hundreds none makes many before the jam
+        // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered (50: no better)
+        // and a fresh gateway's first ones most: of hundreds none makes many before the jam
         self.answers += 1.0;
         let miss = (1.0 / (1.0 + self.answers)).max(0.1) * (1.0 - self.crowd);
         self.crowd = (self.crowd + if answered { -0.004 } else { miss }).max(0.0);
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -379,7 +379,7 @@
     pub(crate) limit: f64,
     pub(crate) decided: Point,
     pub(crate) out: u32,
-    /// The same, averaged over the last seconds.
+    /// The same, averaged over the last two seconds.
     pub(crate) used: f64,
     /// The most that were out in this second.
     pub(crate) peak: f64,
