--- a/src/control.rs
+++ b/src/control.rs
@@ -513,7 +513,7 @@
         // A crowded counter gets fewer calls; an unanswered one weighs as much as 25 answered (50: no better)
         // and a fresh gateway's first ones most: of hundreds none makes many before the jam
         self.answers += 1.0;
-        let miss = (1.0 / (1.0 + self.answers)).max(0.1) * (1.0 - self.crowd);
+        let miss = (1.0 / (0.3 + self.answers)).max(0.1) * (1.0 - self.crowd);
         self.crowd = (self.crowd + if answered { -0.004 } else { miss }).max(0.0);
         self.misses = if answered { 0 } else { self.misses + 1 };
         self.silent = self.misses >= 3; // one or two in a row happen on a crowded counter
