--- a/src/control.rs
+++ b/src/control.rs
@@ -239,8 +239,7 @@
         let no_lease = cust.held >= cap || self.silent && !self.lease_alone(c, cust.held + 1.0);
         // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
         let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
-        let less = if n.repeat { 1.0 - 0.7 * crowd } else { 1.0 };
-        let through = crowd < 0.1 || self.rng.f64() < cust.admit * back * less;
+        let through = crowd < 0.1 || self.rng.f64() < cust.admit * back;
         let asks = !self.silent && self.rng.f64() < keep;
         let (ask_quota, ask_lease, no_units) = (rated && asks, cap > 0.0 && asks, short && (recent || !asks));
         // what is told by chance stands for those not asked; in silence all is told later
@@ -474,7 +473,7 @@
         let cust = &mut self.customers[r.customer];
         cust.hold(-1.0, -r.leased);
         (cust.run, cust.quota.owed) = (cust.run + r.units, cust.quota.owed - r.charge);
-        cust.quota.urgent |= urgent;
+        cust.quota.urgent |= urgent && self.rng.f64() > self.crowd;
         self.dirty.push(r.customer);
     }
 
