--- a/src/control.rs
+++ b/src/control.rs
@@ -473,7 +473,7 @@
         let cust = &mut self.customers[r.customer];
         cust.hold(-1.0, -r.leased);
         (cust.run, cust.quota.owed) = (cust.run + r.units, cust.quota.owed - r.charge);
-        cust.quota.urgent |= urgent && self.rng.f64() > self.crowd;
+        cust.quota.urgent |= urgent;
         self.dirty.push(r.customer);
     }
 
