--- a/src/control.rs
+++ b/src/control.rs
@@ -235,7 +235,7 @@
         let recent = cust.quota.fresh(self.now, ROLL);
         // those known to be near their quota or cap, or back here soon, are asked for before the calm
         let keep =
-            if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
+            if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.05);
         let no_lease = cust.held >= cap || self.silent && !self.lease_alone(c, cust.held + 1.0);
         // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
         let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
@@ -244,8 +244,7 @@
         let (ask_quota, ask_lease, no_units) = (rated && asks, cap > 0.0 && asks, short && (recent || !asks));
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
-        let charge = rated as u8 as f64 * (n.units * weight).min(n.units.max(p.burst / 3.0));
-        let leased = weight.min((cap / 2.0).max(1.0)) * (cap > 0.0) as u8 as f64;
+        let (charge, leased) = (rated as u8 as f64 * n.units * weight, (cap > 0.0) as u8 as f64 * weight);
         if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
