--- a/src/control.rs
+++ b/src/control.rs
@@ -235,7 +235,7 @@
         let recent = cust.quota.fresh(self.now, ROLL);
         // those known to be near their quota or cap, or back here soon, are asked for before the calm
         let keep =
-            if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.05);
+            if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
         let no_lease = cust.held >= cap || self.silent && !self.lease_alone(c, cust.held + 1.0);
         // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
         let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
