The home zone comes first only for its part of the srvs

Change: a zone with less than its part of the srvs is preferred by that chance. Guards as well against zones that shrink.

--- a/benchlink/src/terms.rs
+++ b/benchlink/src/terms.rs
@@ -83,6 +83,7 @@
         seed,
         gateways: top.num("instances")? as usize,
         zone: top.num("locality")? as u16,
+        zones: v.get("zones").and_then(Value::as_array).ok_or("no list `zones`")?.len(),
         period: top.span("period")?,
         frontends: list(&v, "classes")?.iter().map(frontend).collect::<Result<_, _>>()?,
         plans: list(&v, "packages")?.iter().map(plan).collect::<Result<_, _>>()?,
--- a/src/control.rs
+++ b/src/control.rs
@@ -19,8 +19,7 @@
             rng: fastrand::Rng::with_seed(terms.seed),
             asks: terms.ask_list,
             silent: !terms.counter,
-            // first guesses until answers come: targets are set some times above the usual time
-            usual: part(0.2),
+            usual: part(0.2), // first guesses: targets are set some times above the usual time
             tail: part(0.5),
             most_left: part(0.0),
             full_plan: vec![0.2; terms.plans.len()],
@@ -157,11 +156,12 @@
         }
     }
 
-    /// Each srv has credits by pace, trust, warmth and recent fullness; a send spends one, an answer earns
-    /// it back. The send goes where the largest part is left; home zone first where it is nearly equal.
+    /// Each srv has credits by pace, trust and recent fullness; a send spends one, an answer earns it back.
+    /// It goes where the largest part is left; nearly equal: home zone, by chance if it has few of the srvs.
     fn pick(&mut self, slot: usize) -> Option<usize> {
         let base = 1.5 * self.limit / self.srvs.open().count().max(1) as f64;
         let plan = self.reqs.at(slot).map_or(0, |r| self.customers[r.customer].plan);
+        let home = self.rng.f64() < self.srvs.part(self.terms.zone) * self.terms.zones as f64;
         let mut best: Option<(f64, usize)> = None;
         for i in 0..self.srvs.ready.len() {
             let (distrust, warm) = (self.srvs.distrust[i], self.warmth(i));
@@ -176,7 +176,7 @@
             // whole credits: none at half distrust, then one as a trial; two elsewhere, whatever the limit
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
-            let near = if s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
+            let near = if !home || s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
             let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
             if left && best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
--- a/src/link.rs
+++ b/src/link.rs
@@ -47,6 +47,7 @@
     pub seed: u64,
     pub gateways: usize,
     pub zone: u16,
+    pub zones: usize,
     pub period: Span,
     pub frontends: Vec<Frontend>,
     pub plans: Vec<Plan>,
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -349,6 +349,11 @@
             Group::Cell => self.cell[a] == self.cell[b],
         }
     }
+    /// The part of the srvs that take new work which stand in a zone.
+    pub fn part(&self, zone: u16) -> f64 {
+        let there = self.open().filter(|&i| self.zone[i] == zone).count();
+        there as f64 / self.open().count().max(1) as f64
+    }
     /// The indices of the srvs that take new work.
     pub fn open(&self) -> impl Iterator<Item = usize> + '_ {
         (0..self.ready.len()).filter(|&i| self.ready[i])
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -67,6 +67,7 @@
         seed: 1,
         gateways: num(w, "gateways", 2.0) as usize,
         zone: 0,
+        zones: num(w, "zones", 1.0) as usize,
         period: Span::millis(2),
         frontends,
         plans,
@@ -236,6 +237,7 @@
 #[test_case("queue"; "a full pool denies early")]
 #[test_case("many"; "a calm store is open to one of many gateways")]
 #[test_case("cells"; "uniqued reqs by cell and by all")]
+#[test_case("zone"; "a small home zone is not pressed")]
 #[test_case("newborn"; "a srv just started gets no send from every gateway at once")]
 #[test_case("few"; "a limit with few samples moves")]
 #[test_case("throttle"; "a throttled plan is no full pool")]
