--- a/src/control.rs
+++ b/src/control.rs
@@ -134,7 +134,7 @@
         self.limit = if before == 0.0 { self.start() } else { self.limit * ready / before };
     }
 
-    /// DESIGN: a set figure per ready srv, of all gateways together. Two and four are no better anywhere.
+    /// DESIGN: a set figure per ready srv, of all gateways together. Two and four: no better beyond noise.
     fn start(&self) -> f64 {
         3.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
