--- /dev/null
+++ b/gateway/src/program/clock.rs
@@ -0,0 +1,29 @@
+//! Unix time that never goes back: the system's clock read once, then the monotonic one.
+
+use lupinledge::time::{Point, Span};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    unix: Duration,
+    at: Instant,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix, at: Instant::now() }
+    }
+    pub fn now(&self) -> Point {
+        Point::from_secs((self.unix + self.at.elapsed()).as_secs_f64())
+    }
+    /// The instant of a point; one that is past is now.
+    pub fn instant(&self, p: Point) -> tokio::time::Instant {
+        tokio::time::Instant::now() + duration(p - self.now())
+    }
+}
+
+/// A span as the runtime's duration; a negative one is none.
+pub fn duration(s: Span) -> Duration {
+    Duration::from_secs_f64(s.secs().max(0.0))
+}
--- /dev/null
+++ b/gateway/src/program/start.rs
@@ -0,0 +1,116 @@
+//! The program from its start to its end.
+
+use super::clock::{duration, Clock};
+use super::counters::Counters;
+use super::signals::Signals;
+use super::told::Told;
+use super::{logger, told};
+use crate::protocol::client::Clients;
+use crate::protocol::counter::{Counter, LANES};
+use crate::protocol::discovery::Discovery;
+use crate::protocol::srv::Srvs;
+use crate::routing::exchange::{CounterSide, Exchange};
+use crate::transport::descriptors::Share;
+use crate::transport::listen::Gate;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+
+/// Descriptors of the program itself: standard streams, the runtime's and the signals' pipes, the listener,
+/// the counter's connections and discovery's one, each once more while it is replaced.
+const OWN: usize = 14 + 2 * LANES;
+
+/// New connections are taken for so long after SIGTERM: the front hears of the end that much later.
+const STAY: Duration = Duration::from_millis(700);
+
+/// A gateway that can't reach discovery or the counter serves by what it has after so long.
+const READY_WAIT: Duration = Duration::from_secs(1);
+
+pub fn main() -> ExitCode {
+    logger::start();
+    let ended = told::read().and_then(|told| {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+        LocalSet::new().block_on(&runtime, serve(told))
+    });
+    let code = match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            log::error!("{e}");
+            ExitCode::FAILURE
+        }
+    };
+    log::logger().flush();
+    code
+}
+
+async fn serve(told: Told) -> Result<(), String> {
+    let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
+    let mut signals = Signals::hold(counters.clone()).map_err(|e| format!("signals: {e}"))?;
+    // a quarter to the server side: a req out there holds a client's connection here for longer
+    let (srv_places, client_places) = ((told.sockets - OWN) / 4, (told.sockets - OWN) * 3 / 4);
+    let exchange = Exchange::new(told.terms.clone(), clock, counters.clone());
+    let srvs = Srvs::new(&exchange, &told.outside, Share::of(srv_places));
+    let connect_wait = duration(told.outside.connect_wait);
+    let counter = told.counter.map(|a| Counter::start(&exchange, a, told.terms.count_wait, connect_wait));
+    exchange.attach(srvs, counter.clone().map(|c| c as Rc<dyn CounterSide>));
+    tokio::task::spawn_local(exchange.clone().drive());
+    let zones = told.outside.zones.clone();
+    let discovery = Discovery::start(&exchange, told.discovery, zones, told.outside.connect_wait, told.known);
+
+    let places = Share::of(client_places);
+    let gate = Gate::open(told.listen, places.clone());
+    let gate = gate.map_err(|e| format!("`listen`: {}: {e}", told.listen))?;
+    let clients = Clients::new(exchange.clone(), told.outside);
+    let addr = gate.addr().map_err(|e| format!("`listen`: {e}"))?;
+    log::info!("{} listens on {addr}", told.name);
+
+    let (c, d, e, ctr) = (clients.clone(), discovery.clone(), exchange.clone(), counter.clone());
+    tokio::task::spawn_local(async move {
+        let all = async {
+            while !(d.answered() && e.listed() && ctr.as_ref().is_none_or(|c| c.tried())) {
+                sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let _ = timeout(READY_WAIT, all).await;
+        while !e.listed() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        c.ready();
+        log::info!("ready");
+    });
+
+    let accept = async {
+        loop {
+            let (stream, peer, place) = gate.next(|| clients.make_room()).await;
+            clients.serve(stream, peer, place, places.tight());
+        }
+    };
+    tokio::pin!(accept);
+    tokio::select! {
+        _ = accept.as_mut() => {}
+        _ = signals.end() => {}
+    }
+    log::info!("ending");
+    clients.closing();
+    let _ = timeout(STAY, accept.as_mut()).await;
+    // what stands in the accept queue is still taken: a turn without a new one and it is empty
+    while timeout(Duration::from_millis(20), accept.as_mut()).await.is_ok() {}
+    clients.end_all();
+    clients.all_ended().await;
+    exchange.all_answered().await;
+    if let Some(counter) = counter {
+        // what the last answers gave back is still told, if the counter takes it
+        sleep(Duration::from_millis(2)).await;
+        let written = async {
+            while !counter.written() {
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
+        let _ = timeout(duration(told.terms.count_wait), written).await;
+    }
+    log::info!("{counters}");
+    Ok(())
+}
--- /dev/null
+++ b/gateway/src/program/told.rs
@@ -0,0 +1,66 @@
+//! What the gateway is told at its start: the configuration file named by the environment.
+
+use crate::protocol::discovery::{Members, WireMembers};
+use lupinledge::link::Terms;
+use lupinledge_terms::Outside;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+pub const FILE_VARIABLE: &str = "EDGE_CONFIG";
+
+pub struct Told {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub counter: Option<SocketAddr>,
+    pub sockets: usize,
+    pub terms: Terms,
+    pub outside: Outside,
+    pub known: Option<Members>,
+}
+
+/// Reads the file; an error names the field that is missing or wrong.
+pub fn read() -> Result<Told, String> {
+    let path = std::env::var(FILE_VARIABLE).map_err(|_| format!("{FILE_VARIABLE} is not set"))?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    parse(&text).map_err(|e| format!("{path}: {e}"))
+}
+
+fn parse(text: &[u8]) -> Result<Told, String> {
+    let v: Value = serde_json::from_slice(text).map_err(|e| format!("no JSON: {e}"))?;
+    let word = |key: &str| v.get(key).and_then(Value::as_str).ok_or(format!("`{key}`: no text"));
+    let addr = |key: &str| {
+        let word = word(key)?;
+        word.parse::<SocketAddr>().map_err(|_| format!("`{key}`: `{word}` is no address with a port"))
+    };
+    let seed = word("seed")?;
+    let seed = u64::from_str_radix(seed, 16).map_err(|_| format!("`seed`: `{seed}` is no hex number"))?;
+    let sockets = v.get("limits").and_then(|l| l.get("sockets")).and_then(Value::as_u64);
+    let sockets = sockets.ok_or("`limits.sockets`: no whole number")? as usize;
+    if sockets < LEAST_SOCKETS {
+        return Err(format!("`limits.sockets`: {sockets}, needs {LEAST_SOCKETS}"));
+    }
+    let settings = v.get("settings").ok_or("`settings`: missing")?;
+    let terms = lupinledge_terms::terms(seed, settings).map_err(|e| format!("`settings`: {e}"))?;
+    let outside = lupinledge_terms::outside(settings).map_err(|e| format!("`settings`: {e}"))?;
+    let known = match v.get("known").filter(|k| !k.is_null()) {
+        None => None,
+        Some(k) => {
+            let wire: WireMembers = serde_json::from_value(k.clone()).map_err(|e| format!("`known`: {e}"))?;
+            Some(wire.members(&outside.zones).map_err(|e| format!("`known`: {e}"))?)
+        }
+    };
+    Ok(Told {
+        name: word("name")?.to_string(),
+        listen: addr("listen")?,
+        discovery: addr("discovery")?,
+        counter: if terms.counter { Some(addr("counter")?) } else { None },
+        sockets,
+        terms,
+        outside,
+        known,
+    })
+}
+
+/// Sixteen for the program itself, and as many again for connections of either side.
+const LEAST_SOCKETS: usize = 48;
--- /dev/null
+++ b/gateway/src/protocol/client.rs
@@ -0,0 +1,304 @@
+//! Clients: the service that reads their reqs, and the connections it stands behind.
+
+use crate::program::counters::Counters;
+use crate::routing::exchange::{Answer, Carried, Exchange};
+use crate::transport::descriptors::Place;
+use crate::transport::ending::{Ending, Why};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, ALLOW, CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use hyper_util::service::TowerToHyperService;
+use lupinledge::link::{Effect, NewReq};
+use lupinledge::time::Span;
+use lupinledge_terms::Outside;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tower::Service;
+
+const REQ_ID: HeaderName = HeaderName::from_static("x-request-id");
+const REQ_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const WAIT: HeaderName = HeaderName::from_static("x-deadline");
+const PLAN: HeaderName = HeaderName::from_static("plan");
+const REPEAT: HeaderName = HeaderName::from_static("x-retry");
+const QUOTA: HeaderName = HeaderName::from_static("quota-info");
+const LARGEST_BODY: usize = 64 * 1024;
+const HEALTH: &str = "/_health";
+
+type Reply = Response<Full<Bytes>>;
+
+/// All client connections, and what their reqs are read by.
+pub struct Clients {
+    exchange: Rc<Exchange>,
+    outside: Outside,
+    ready: Cell<bool>,
+    closing: Cell<bool>,
+    opened: Cell<u64>,
+    links: RefCell<BTreeMap<u64, Rc<Link>>>,
+    none_left: Notify,
+}
+
+/// One connection, as seen from the others.
+#[derive(Default)]
+struct Link {
+    busy: Cell<bool>,
+    stop: Notify,
+    why: Cell<Option<Why>>,
+}
+
+impl Link {
+    fn end(&self, why: Why) {
+        self.why.set(self.why.get().or(Some(why)));
+        self.stop.notify_one();
+    }
+}
+
+impl Clients {
+    pub fn new(exchange: Rc<Exchange>, outside: Outside) -> Rc<Clients> {
+        Rc::new(Clients {
+            exchange,
+            outside,
+            ready: Cell::new(false),
+            closing: Cell::new(false),
+            opened: Cell::new(0),
+            links: RefCell::default(),
+            none_left: Notify::new(),
+        })
+    }
+
+    /// From here on `/_health` says that reqs may come.
+    pub fn ready(&self) {
+        self.ready.set(true);
+    }
+
+    /// From here on each answer asks its client to take another connection.
+    pub fn closing(&self) {
+        self.closing.set(true);
+    }
+
+    /// Ends the connections that nobody uses now, the others after their answer.
+    pub fn end_all(&self) {
+        self.links.borrow().values().for_each(|l| l.end(Why::Drained));
+    }
+
+    pub async fn all_ended(&self) {
+        while !self.links.borrow().is_empty() {
+            self.none_left.notified().await;
+        }
+    }
+
+    /// Ends the connection that was opened first of those that nobody uses now.
+    pub fn make_room(&self) {
+        let links = self.links.borrow();
+        let idle = links.values().find(|l| !l.busy.get() && l.why.get().is_none());
+        idle.into_iter().for_each(|l| l.end(Why::Crowded));
+    }
+
+    /// Serves a connection until it ends.
+    pub fn serve(self: &Rc<Clients>, stream: TcpStream, peer: SocketAddr, place: Place, tight: bool) {
+        self.exchange.counters.client_connections.up();
+        let nth = self.opened.get();
+        self.opened.set(nth + 1);
+        let link = Rc::new(Link::default());
+        self.links.borrow_mut().insert(nth, link.clone());
+        let reader = Reader { clients: self.clone(), link: link.clone(), last: tight };
+        let clients = self.clone();
+        tokio::task::spawn_local(async move {
+            let ending = Ending::of("client", peer);
+            let conn = hyper::server::conn::http1::Builder::new()
+                .auto_date_header(false)
+                .max_buf_size(32 * 1024)
+                .serve_connection(TokioIo::new(stream), TowerToHyperService::new(reader));
+            tokio::pin!(conn);
+            let end = tokio::select! {
+                end = conn.as_mut() => end,
+                _ = link.stop.notified() => {
+                    conn.as_mut().graceful_shutdown();
+                    conn.as_mut().await
+                }
+            };
+            if let Some(why) = link.why.get().filter(|_| end.is_ok()) {
+                ending.because(why);
+            }
+            ending.because(Why::of_http(&end));
+            clients.links.borrow_mut().remove(&nth);
+            clients.none_left.notify_waiters();
+            drop((place, ending));
+        });
+    }
+}
+
+/// The service of one connection.
+#[derive(Clone)]
+struct Reader {
+    clients: Rc<Clients>,
+    link: Rc<Link>,
+    last: bool,
+}
+
+/// Marks a connection as used while it holds a req.
+struct Busy(Rc<Link>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(false);
+    }
+}
+
+impl Service<Request<Incoming>> for Reader {
+    type Response = Reply;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Reply, Infallible>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+    fn call(&mut self, req: Request<Incoming>) -> Self::Future {
+        self.link.busy.set(true);
+        let busy = Busy(self.link.clone());
+        let (clients, last) = (self.clients.clone(), self.last);
+        Box::pin(async move {
+            let mut reply = clients.answer(req).await;
+            if last || clients.closing.get() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                busy.0.why.set(busy.0.why.get().or(Some(Why::ClosedHere)));
+            }
+            Ok(reply)
+        })
+    }
+}
+
+fn bare(status: StatusCode) -> Reply {
+    let mut reply = Response::new(Full::default());
+    *reply.status_mut() = status;
+    reply
+}
+
+fn say(status: StatusCode, what: &'static str) -> Reply {
+    let mut reply = Response::new(Full::from(what));
+    *reply.status_mut() = status;
+    reply
+}
+
+impl Clients {
+    async fn answer(&self, req: Request<Incoming>) -> Reply {
+        if req.uri().path() == HEALTH {
+            let ready = self.ready.get() && !self.closing.get();
+            return bare(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
+        }
+        let came = self.exchange.clock.now();
+        let (new, carried) = match self.read(req).await {
+            Ok(read) => read,
+            Err(mut refusal) => {
+                self.counters().malformed.up();
+                // what is left of a body that nobody reads must not be taken for the next req
+                refusal.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                return refusal;
+            }
+        };
+        let spent = self.exchange.clock.now() - came;
+        let new = NewReq { left: new.left - spent, ..new };
+        match self.exchange.take(new, carried).answer().await {
+            Answer::Passed(made) => {
+                let mut reply = Response::new(Full::new(made.body));
+                made.kind.into_iter().for_each(|k| drop(reply.headers_mut().insert(CONTENT_TYPE, k)));
+                reply
+            }
+            Answer::Denied(back_off) => {
+                let mut reply = bare(StatusCode::TOO_MANY_REQUESTS);
+                if back_off > Span::ZERO {
+                    let secs = HeaderValue::from_str(&format!("{:.3}", back_off.secs()));
+                    secs.into_iter().for_each(|s| drop(reply.headers_mut().insert(RETRY_AFTER, s)));
+                }
+                reply
+            }
+            Answer::Aborted => bare(StatusCode::BAD_GATEWAY),
+        }
+    }
+
+    fn counters(&self) -> &Counters {
+        &self.exchange.counters
+    }
+
+    async fn read(&self, req: Request<Incoming>) -> Result<(NewReq, Carried), Reply> {
+        let (mut head, body) = req.into_parts();
+        let frontend = head.uri.path().split('/').nth(1).unwrap_or_default();
+        let known = self.outside.frontends.iter().position(|f| f == frontend);
+        let frontend = known.ok_or_else(|| say(StatusCode::NOT_FOUND, "no such frontend"))?;
+        let effect = self.exchange.terms().frontends[frontend].effect;
+        let method = if effect == Effect::Replayable { Method::GET } else { Method::POST };
+        if head.method != method {
+            let mut refusal = say(StatusCode::METHOD_NOT_ALLOWED, "not the frontend's method");
+            let allow = HeaderValue::from_str(method.as_str());
+            allow.into_iter().for_each(|m| drop(refusal.headers_mut().insert(ALLOW, m)));
+            return Err(refusal);
+        }
+        let malformed = |what| say(StatusCode::BAD_REQUEST, what);
+        let id = head.headers.get(&REQ_ID).filter(|id| !id.is_empty()).cloned();
+        let id = id.ok_or_else(|| malformed("X-Request-Id: missing"))?;
+        let key = head.headers.remove(&REQ_KEY).filter(|k| !k.is_empty());
+        if effect == Effect::Uniqued && key.is_none() {
+            return Err(malformed("Idempotency-Key: missing"));
+        }
+        let customer = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("client=")));
+        let customer = customer.filter(|c| c.len() == 16).and_then(|c| u64::from_str_radix(c, 16).ok());
+        let customer = customer.filter(|c| *c < 1 << 33).ok_or_else(|| malformed("client: no customer"))?;
+        let plan = text(&head.headers, &PLAN);
+        let plan = self.outside.plans.iter().position(|p| Some(p.as_str()) == plan);
+        let plan = plan.ok_or_else(|| malformed("Plan: none of the plans"))?;
+        let left = text(&head.headers, &WAIT).and_then(|w| w.parse::<f64>().ok());
+        let left = left.filter(|w| (0.0..=LONGEST_WAIT).contains(w));
+        let left = left.ok_or_else(|| malformed("X-Deadline: no seconds"))?;
+        let quota = text(&head.headers, &QUOTA).unwrap_or_default();
+        let units = part(quota, "units").filter(|u| (0.0..=MOST_UNITS).contains(u));
+        let units = units.ok_or_else(|| malformed("Quota-Info: no units"))?;
+        let spread = part(quota, "spread").filter(|s| (1.0..=MOST_UNITS).contains(s));
+        let spread = spread.ok_or_else(|| malformed("Quota-Info: no spread"))?;
+        let body = if body.is_end_stream() { Bytes::new() } else { whole(body).await? };
+        let new = NewReq {
+            id: 0,
+            frontend,
+            repeat: text(&head.headers, &REPEAT) == Some("1"),
+            units,
+            customer,
+            plan,
+            spread,
+            left: Span::from_secs(left),
+        };
+        Ok((new, Carried { method: head.method, uri: head.uri, id, key, body }))
+    }
+}
+
+/// Bounds on what a client may name, far past any use, so that sums stay sums.
+const LONGEST_WAIT: f64 = 86_400.0;
+const MOST_UNITS: f64 = 1e6;
+
+async fn whole(body: Incoming) -> Result<Bytes, Reply> {
+    if body.size_hint().lower() > LARGEST_BODY as u64 {
+        return Err(say(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"));
+    }
+    match Limited::new(body, LARGEST_BODY).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(say(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB")),
+        Err(_) => Err(say(StatusCode::BAD_REQUEST, "broken body")),
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim)
+}
+
+fn part(list: &str, name: &str) -> Option<f64> {
+    let value = list.split(',').find_map(|p| p.trim().strip_prefix(name)?.strip_prefix('='));
+    value.and_then(|v| v.trim().parse::<f64>().ok()).filter(|v| v.is_finite())
+}
--- /dev/null
+++ b/gateway/src/protocol/counter.rs
@@ -0,0 +1,285 @@
+//! The counter: a few connections, calls written one after another, answers matched by their order. A name
+//! keeps to one connection, so that its calls are answered in order.
+
+use super::resp::{read_reply, write_call, Reply};
+use crate::program::clock::duration;
+use crate::routing::exchange::{CounterSide, Exchange, Meeting};
+use crate::transport::dial::dial;
+use crate::transport::ending::{Ending, Why};
+use lupinledge::link::Outcome;
+use lupinledge::time::Span;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// Connections. The counter may be split by name and a slow part holds up what stands behind it: four meet
+/// three parts with one to spare, and each further one is a write and a wakeup more in a busy round.
+pub const LANES: usize = 4;
+
+/// So many waits for an answer without a byte: the machine is taken to be gone and a new one tried. Answers
+/// that are merely late, as at a counter some times slower, come well within it.
+const SILENT_WAITS: u32 = 8;
+
+/// Between two tries to connect: at once after an end, then doubled up to a second.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
+
+struct Call {
+    name: u64,
+    until: Instant,
+    /// Where its last byte stands in all that was ever written to the connection.
+    end: u64,
+    /// Told as timed out: an answer is still owed, and goes nowhere.
+    over: bool,
+}
+
+#[derive(Default)]
+struct Lane {
+    stream: RefCell<Option<Rc<TcpStream>>>,
+    calls: RefCell<VecDeque<Call>>,
+    unsent: RefCell<Vec<u8>>,
+    /// All bytes ever put to be written here, and of them those that the machine took.
+    put: Cell<u64>,
+    sent: Cell<u64>,
+    heard: Cell<Option<Instant>>,
+    woken: Notify,
+}
+
+pub struct Counter {
+    exchange: Meeting,
+    addr: SocketAddr,
+    wait: Duration,
+    connect_wait: Duration,
+    lanes: Vec<Lane>,
+    tried: Cell<usize>,
+}
+
+impl Counter {
+    pub fn start(
+        exchange: &Rc<Exchange>,
+        addr: SocketAddr,
+        wait: Span,
+        connect_wait: Duration,
+    ) -> Rc<Counter> {
+        let lanes = (0..LANES).map(|_| Lane::default()).collect();
+        let (exchange, wait) = (Rc::downgrade(exchange), duration(wait));
+        let counter = Rc::new(Counter { exchange, addr, wait, connect_wait, lanes, tried: Cell::new(0) });
+        (0..LANES).for_each(|i| drop(tokio::task::spawn_local(counter.clone().run(i))));
+        counter
+    }
+
+    /// Whether each connection is up or has failed once.
+    pub fn tried(&self) -> bool {
+        self.tried.get() >= LANES
+    }
+
+    /// Whether no call waits to be written.
+    pub fn written(&self) -> bool {
+        self.lanes.iter().all(|l| l.unsent.borrow().is_empty())
+    }
+
+    fn told(&self, name: u64, total: f64, how: Outcome) {
+        if let Some(exchange) = self.exchange.upgrade() {
+            exchange.counted(name, total, how);
+        }
+    }
+
+    /// Keeps one connection up and reads from it.
+    async fn run(self: Rc<Counter>, i: usize) {
+        let lane = &self.lanes[i];
+        let mut pause = BACK_OFF.0;
+        let mut first = true;
+        loop {
+            let ending = Ending::of("counter", self.addr);
+            let mut dialled = std::pin::pin!(dial(self.addr, self.connect_wait));
+            let stream = loop {
+                tokio::select! {
+                    up = &mut dialled => break up,
+                    _ = self.due(lane) => self.expire(lane),
+                }
+            };
+            if std::mem::take(&mut first) {
+                self.tried.set(self.tried.get() + 1);
+            }
+            let up = stream.is_ok();
+            match stream {
+                Ok(stream) => {
+                    lane.heard.set(None);
+                    let stream = Rc::new(stream);
+                    *lane.stream.borrow_mut() = Some(stream.clone());
+                    let since = Instant::now();
+                    ending.because(self.talk(lane, &stream).await);
+                    *lane.stream.borrow_mut() = None;
+                    self.broken(lane);
+                    if since.elapsed() > BACK_OFF.1 {
+                        pause = BACK_OFF.0;
+                    }
+                }
+                Err(e) => {
+                    ending.because(Why::of_dial(&e));
+                    self.broken(lane);
+                }
+            }
+            drop(ending);
+            let again = Instant::now() + pause;
+            pause = (pause * 2).min(if up { BACK_OFF.1 } else { self.connect_wait.min(BACK_OFF.1) });
+            while Instant::now() < again {
+                tokio::select! {
+                    _ = tokio::time::sleep_until(again) => {}
+                    _ = self.due(lane) => self.expire(lane),
+                }
+            }
+        }
+    }
+
+    /// Until the first open call's time is up.
+    async fn due(&self, lane: &Lane) {
+        loop {
+            let next = lane.calls.borrow().iter().find(|c| !c.over).map(|c| c.until);
+            match next {
+                Some(at) => return tokio::time::sleep_until(at).await,
+                None => lane.woken.notified().await,
+            }
+        }
+    }
+
+    fn expire(&self, lane: &Lane) {
+        let now = Instant::now();
+        let down = lane.stream.borrow().is_none();
+        let mut ended = Vec::new();
+        {
+            let mut calls = lane.calls.borrow_mut();
+            for c in calls.iter_mut().filter(|c| !c.over && c.until <= now) {
+                c.over = true;
+                ended.push(c.name);
+            }
+            // with no connection nothing is written: the bytes go too, and can't be added any more
+            while let Some(c) = calls.pop_front_if(|c| down && c.over) {
+                lane.unsent.borrow_mut().drain(..(c.end - lane.sent.get()) as usize);
+                lane.sent.set(c.end);
+            }
+        }
+        let how = if down { Outcome::NoConnection } else { Outcome::TimedOut };
+        ended.into_iter().for_each(|name| self.told(name, 0.0, how));
+    }
+
+    /// The connection is gone: what was written whole may have been added, the rest was not.
+    fn broken(&self, lane: &Lane) {
+        let calls = std::mem::take(&mut *lane.calls.borrow_mut());
+        let sent = lane.sent.get();
+        lane.unsent.borrow_mut().clear();
+        lane.put.set(sent);
+        for c in calls.into_iter().filter(|c| !c.over) {
+            self.told(c.name, 0.0, if c.end <= sent { Outcome::TimedOut } else { Outcome::NoConnection });
+        }
+    }
+
+    async fn talk(&self, lane: &Lane, stream: &TcpStream) -> Why {
+        let (mut read, mut part) = (Vec::with_capacity(4096), [0u8; 4096]);
+        self.send(lane, stream);
+        loop {
+            let stuck = !lane.unsent.borrow().is_empty();
+            tokio::select! {
+                biased;
+                ready = stream.readable() => {
+                    if ready.is_err() {
+                        return Why::PeerReset;
+                    }
+                    match stream.try_read(&mut part) {
+                        Ok(0) => return Why::PeerClosed,
+                        Ok(n) => {
+                            lane.heard.set(Some(Instant::now()));
+                            read.extend_from_slice(&part[..n]);
+                        }
+                        Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
+                        Err(_) => return Why::PeerReset,
+                    }
+                    let mut used = 0;
+                    loop {
+                        match read_reply(&read[used..]) {
+                            Ok(Some((reply, n))) => {
+                                used += n;
+                                self.reply(lane, reply);
+                            }
+                            Ok(None) => break,
+                            Err(_) => return Why::Malformed,
+                        }
+                    }
+                    read.drain(..used);
+                }
+                _ = stream.writable(), if stuck => self.send(lane, stream),
+                _ = self.due(lane) => {
+                    self.expire(lane);
+                    if self.silent(lane) {
+                        return Why::Silent;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Nothing was heard since long before the oldest call that has no answer.
+    fn silent(&self, lane: &Lane) -> bool {
+        let calls = lane.calls.borrow();
+        let Some(oldest) = calls.front().map(|c| c.until - self.wait) else { return false };
+        let since = lane.heard.get().map_or(oldest, |h| h.max(oldest));
+        since.elapsed() > self.wait * SILENT_WAITS
+    }
+
+    fn reply(&self, lane: &Lane, reply: Reply) {
+        let Some(call) = lane.calls.borrow_mut().pop_front() else { return };
+        if call.over {
+            return;
+        }
+        match reply {
+            Reply::Total(t) => self.told(call.name, t, Outcome::Passed),
+            Reply::Busy | Reply::Refused | Reply::Other => self.told(call.name, 0.0, Outcome::Full),
+        }
+    }
+
+    /// Writes what the machine takes now.
+    fn send(&self, lane: &Lane, stream: &TcpStream) {
+        let mut unsent = lane.unsent.borrow_mut();
+        while !unsent.is_empty() {
+            match stream.try_write(&unsent) {
+                Ok(n) => {
+                    unsent.drain(..n);
+                    lane.sent.set(lane.sent.get() + n as u64);
+                }
+                Err(_) => return, // full, or broken: the reader finds out
+            }
+        }
+    }
+}
+
+impl CounterSide for Counter {
+    fn add(&self, name: u64, amount: f64, life: Span) {
+        let lane = &self.lanes[(name >> 1) as usize % LANES];
+        let (word, amount) = (format!("{name:x}"), format!("{}", amount as f32));
+        let life = format!("{}", ((life.secs() * 1e3).round() as i64).max(1));
+        let mut unsent = lane.unsent.borrow_mut();
+        let before = unsent.len();
+        write_call(&mut unsent, &["CNT.ADD", &word, &amount, &life]);
+        lane.put.set(lane.put.get() + (unsent.len() - before) as u64);
+        let call = Call { name, until: Instant::now() + self.wait, end: lane.put.get(), over: false };
+        let mut calls = lane.calls.borrow_mut();
+        if calls.iter().all(|c| c.over) {
+            lane.woken.notify_one();
+        }
+        calls.push_back(call);
+    }
+    fn flush(&self) {
+        for lane in &self.lanes {
+            if let Some(stream) = lane.stream.borrow().clone() {
+                if !lane.unsent.borrow().is_empty() {
+                    self.send(lane, &stream);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/protocol/discovery.rs
@@ -0,0 +1,204 @@
+//! Discovery: the watch on the list of srvs, opened anew whenever it ends or falls silent.
+
+use crate::program::clock::duration;
+use crate::routing::exchange::{Entry, Exchange};
+use crate::transport::dial::dial;
+use crate::transport::ending::{Ending, Why};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1;
+use hyper::header::{HeaderValue, HOST};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use lupinledge::link::{ListKind, SrvRow, SrvState};
+use lupinledge::time::{Point, Span};
+use serde::Deserialize;
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// An empty line comes every two seconds; after three that did not, the connection is taken to be dead.
+const SILENCE: Duration = Duration::from_millis(6500);
+
+/// Between two tries: doubled from the first to the second figure. The agent is on this machine and answers
+/// at no cost.
+const BACK_OFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+
+/// The longest line: some thousands of srvs.
+const LONGEST_LINE: usize = 4 << 20;
+
+#[derive(Deserialize)]
+pub struct WireMembers {
+    generation: u64,
+    #[serde(default)]
+    reset: bool,
+    instances: Vec<WireMember>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireMember {
+    instance_id: String,
+    host_port: String,
+    zone: Option<String>,
+    cell: Option<u16>,
+    lifecycle: String,
+    weight: Option<f64>,
+    started_at_ms: Option<u64>,
+}
+
+/// A version of the list: whole, or what changed.
+pub struct Members {
+    pub generation: u64,
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+impl WireMembers {
+    pub fn members(self, zones: &[String]) -> Result<Members, String> {
+        let entries = self.instances.into_iter().map(|m| m.entry(zones)).collect::<Result<_, _>>()?;
+        Ok(Members { generation: self.generation, whole: self.reset, entries })
+    }
+}
+
+impl WireMember {
+    fn entry(self, zones: &[String]) -> Result<Entry, String> {
+        let state = match self.lifecycle.as_str() {
+            "active" => SrvState::Ready,
+            "leaving" => SrvState::Draining,
+            "left" => SrvState::Gone,
+            other => return Err(format!("`lifecycle`: unknown `{other}`")),
+        };
+        let addr = self.host_port.parse::<SocketAddr>();
+        let addr = addr.map_err(|_| format!("`hostPort`: `{}` is no address", self.host_port))?;
+        let born = self.started_at_ms.filter(|ms| *ms > 0);
+        let zone = zones.iter().position(|z| Some(z) == self.zone.as_ref());
+        let row = SrvRow {
+            srv: 0,
+            zone: zone.map_or(u16::MAX, |z| z as u16),
+            cell: self.cell.unwrap_or_default(),
+            state,
+            weight: self.weight.unwrap_or(1.0),
+            born: born.map(|ms| Point::default() + Span::millis(ms as i64)),
+        };
+        Ok(Entry { name: self.instance_id, addr, row })
+    }
+}
+
+pub struct Discovery {
+    exchange: Rc<Exchange>,
+    addr: SocketAddr,
+    zones: Vec<String>,
+    connect_wait: Duration,
+    generation: Cell<Option<u64>>,
+    answered: Cell<bool>,
+}
+
+impl Discovery {
+    pub fn start(
+        exchange: &Rc<Exchange>,
+        addr: SocketAddr,
+        zones: Vec<String>,
+        connect_wait: Span,
+        known: Option<Members>,
+    ) -> Rc<Discovery> {
+        let generation = Cell::new(known.as_ref().map(|k| k.generation));
+        let connect_wait = duration(connect_wait);
+        let exchange = exchange.clone();
+        if let Some(k) = known {
+            exchange.list(ListKind::Cached, k.entries);
+        }
+        let answered = Cell::new(false);
+        let d = Rc::new(Discovery { exchange, addr, zones, connect_wait, generation, answered });
+        tokio::task::spawn_local(d.clone().follow());
+        d
+    }
+
+    /// Whether the watch has brought a line.
+    pub fn answered(&self) -> bool {
+        self.answered.get()
+    }
+
+    async fn follow(self: Rc<Discovery>) {
+        let mut pause = BACK_OFF.0;
+        loop {
+            let ending = Ending::of("discovery", self.addr);
+            let lines = Cell::new(0u64);
+            ending.because(self.watch(&lines).await);
+            drop(ending);
+            if lines.get() > 1 {
+                pause = BACK_OFF.0;
+            }
+            tokio::time::sleep(pause).await;
+            pause = (pause * 2).min(BACK_OFF.1);
+        }
+    }
+
+    async fn watch(&self, lines: &Cell<u64>) -> Why {
+        let stream = match dial(self.addr, self.connect_wait).await {
+            Ok(stream) => stream,
+            Err(e) => return Why::of_dial(&e),
+        };
+        let Ok((mut send, conn)) = http1::handshake(TokioIo::new(stream)).await else {
+            return Why::PeerReset;
+        };
+        let conn = tokio::task::spawn_local(conn);
+        let why = self.lines(&mut send, lines).await;
+        conn.abort();
+        why
+    }
+
+    async fn lines(&self, send: &mut http1::SendRequest<Empty<Bytes>>, lines: &Cell<u64>) -> Why {
+        let path = match self.generation.get() {
+            Some(g) => format!("/catalog/members?watch=1&from={g}"),
+            None => "/catalog/members?watch=1".to_string(),
+        };
+        let Ok(mut req) = Request::get(path).body(Empty::new()) else { return Why::Unexpected };
+        req.headers_mut().insert(HOST, HeaderValue::from_static("discovery"));
+        let answer = match timeout(SILENCE, send.send_request(req)).await {
+            Err(_) => return Why::Silent,
+            Ok(Err(_)) => return Why::PeerReset,
+            Ok(Ok(answer)) if answer.status() != StatusCode::OK => return Why::Unexpected,
+            Ok(Ok(answer)) => answer,
+        };
+        let (mut body, mut text) = (answer.into_body(), Vec::new());
+        loop {
+            let data = match timeout(SILENCE, body.frame()).await {
+                Err(_) => return Why::Silent,
+                Ok(None) => return Why::PeerClosed,
+                Ok(Some(Err(_))) => return Why::PeerReset,
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            text.extend_from_slice(&data);
+            while let Some(end) = text.iter().position(|b| *b == b'\n') {
+                let line: Vec<u8> = text.drain(..=end).collect();
+                lines.set(lines.get() + 1);
+                self.answered.set(true);
+                if line.trim_ascii().is_empty() {
+                    continue;
+                }
+                if let Err(e) = self.news(&line) {
+                    log::warn!("discovery: {e}");
+                    // nothing after a line that was not understood can be relied on: the whole list again
+                    self.generation.set(None);
+                    return Why::Malformed;
+                }
+            }
+            if text.len() > LONGEST_LINE {
+                return Why::Malformed;
+            }
+        }
+    }
+
+    fn news(&self, line: &[u8]) -> Result<(), String> {
+        let wire: WireMembers = serde_json::from_slice(line).map_err(|e| e.to_string())?;
+        let news = wire.members(&self.zones)?;
+        self.generation.set(Some(news.generation));
+        if news.whole || !news.entries.is_empty() {
+            self.exchange.list(if news.whole { ListKind::Full } else { ListKind::Delta }, news.entries);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/gateway/src/protocol/mod.rs
@@ -0,0 +1,5 @@
+pub mod client;
+pub mod counter;
+pub mod discovery;
+pub mod resp;
+pub mod srv;
--- /dev/null
+++ b/gateway/src/protocol/srv.rs
@@ -0,0 +1,272 @@
+//! Srvs: one req at a time on a connection, connections kept and used again, the last used first.
+
+use crate::program::clock::duration;
+use crate::routing::exchange::{Back, Dispatch, Exchange, Made, Meeting, ServerSide, Stop};
+use crate::transport::counted::{Counted, Meter};
+use crate::transport::descriptors::{Place, Share};
+use crate::transport::dial::dial;
+use crate::transport::ending::{Ending, Why};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, CONTENT_TYPE, HOST};
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use lupinledge::link::Outcome;
+use lupinledge_terms::Outside;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tower::{Service, ServiceExt};
+
+const REQ_ID: HeaderName = HeaderName::from_static("x-request-id");
+const REQ_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const WAIT: HeaderName = HeaderName::from_static("x-deadline");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
+const BILLED: HeaderName = HeaderName::from_static("billed-units");
+const LARGEST_BODY: usize = 64 * 1024;
+
+/// An open connection. Dropped, it is closed.
+struct Link {
+    send: SendRequest<Full<Bytes>>,
+    meter: Rc<Meter>,
+    ending: Rc<Ending>,
+    task: AbortHandle,
+    used: Instant,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        if !self.send.is_closed() {
+            self.ending.because(Why::Cancelled);
+        }
+        self.task.abort();
+    }
+}
+
+pub struct Srvs {
+    exchange: Meeting,
+    places: Rc<Share>,
+    connect_wait: Duration,
+    idle_most: Duration,
+    idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
+    me: Weak<Srvs>,
+}
+
+impl Srvs {
+    pub fn new(exchange: &Rc<Exchange>, outside: &Outside, places: Rc<Share>) -> Rc<Srvs> {
+        let connect_wait = duration(outside.connect_wait);
+        let srvs = Rc::new_cyclic(|me| Srvs {
+            exchange: Rc::downgrade(exchange),
+            places,
+            connect_wait,
+            // ahead of the srv by as much as the network may take: what crosses its closing may have run
+            idle_most: duration(outside.keepalive).saturating_sub(connect_wait),
+            idle: RefCell::default(),
+            me: me.clone(),
+        });
+        tokio::task::spawn_local(srvs.clone().sweep());
+        srvs
+    }
+
+    /// Closes connections that have been idle for as long as they may.
+    async fn sweep(self: Rc<Srvs>) {
+        loop {
+            tokio::time::sleep((self.idle_most / 8).max(Duration::from_millis(50))).await;
+            let now = Instant::now();
+            self.idle.borrow_mut().retain(|_, links| {
+                links.retain(|l| !l.send.is_closed() && !self.spent(l, now));
+                !links.is_empty()
+            });
+        }
+    }
+
+    fn spent(&self, l: &Link, now: Instant) -> bool {
+        let spent = now.duration_since(l.used) >= self.idle_most * 7 / 8;
+        if spent {
+            l.ending.because(Why::Idle);
+        }
+        spent
+    }
+
+    fn idle_link(&self, addr: SocketAddr) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&addr)?;
+        let now = Instant::now();
+        while let Some(l) = links.pop() {
+            if !l.send.is_closed() && !self.spent(&l, now) {
+                return Some(l);
+            }
+        }
+        None
+    }
+
+    /// With no place free, the connection that has been idle longest makes one.
+    fn place(&self) -> Option<Place> {
+        self.places.take().or_else(|| {
+            let mut idle = self.idle.borrow_mut();
+            let oldest = idle.iter().filter_map(|(a, l)| l.first().map(|l| (l.used, *a))).min()?.1;
+            idle.get_mut(&oldest)?.remove(0).ending.because(Why::Crowded);
+            None
+        })
+    }
+
+    async fn open(&self, addr: SocketAddr) -> Option<Link> {
+        let place = match self.place() {
+            Some(place) => place,
+            None => {
+                tokio::task::yield_now().await; // the closed one's task gives its place back
+                self.places.take()?
+            }
+        };
+        let ending = Ending::of("srv", addr);
+        if let Some(exchange) = self.exchange.upgrade() {
+            exchange.counters.srv_connections.up();
+        }
+        let stream = match dial(addr, self.connect_wait).await {
+            Ok(stream) => stream,
+            Err(e) => {
+                ending.because(Why::of_dial(&e));
+                return None;
+            }
+        };
+        let (stream, meter) = Counted::new(stream);
+        let (send, conn) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let noted = ending.clone();
+        let task = tokio::task::spawn_local(async move {
+            let end = conn.await;
+            noted.because(Why::of_http(&end));
+            drop((place, noted));
+        });
+        Some(Link { send, meter, ending, task: task.abort_handle(), used: Instant::now() })
+    }
+
+    fn keep(&self, addr: SocketAddr, mut l: Link) {
+        if !l.send.is_closed() {
+            l.used = Instant::now();
+            self.idle.borrow_mut().entry(addr).or_default().push(l);
+        }
+    }
+
+    /// One dispatch, over connections until one takes its first byte.
+    async fn call(self: Rc<Srvs>, d: Dispatch) -> Back {
+        loop {
+            let reused = self.idle_link(d.addr);
+            let fresh = reused.is_none();
+            let opened = match reused {
+                Some(l) => Some(l),
+                None => self.open(d.addr).await,
+            };
+            let Some(mut l) = opened else { return Back::bare(Outcome::NoConnection) };
+            if l.send.ready().await.is_err() {
+                if fresh {
+                    return Back::bare(Outcome::NoConnection);
+                }
+                continue;
+            }
+            let Some(exchange) = self.exchange.upgrade() else { return Back::bare(Outcome::NotSent) };
+            if !exchange.may_begin(&d) {
+                self.keep(d.addr, l);
+                return Back::bare(Outcome::NotSent);
+            }
+            let left = d.until - exchange.clock.now();
+            l.meter.begin(d.carried.body.len());
+            let answer = tokio::time::timeout(duration(left), async {
+                let answer = l.send.send_request(message(&d, left.secs())).await.map_err(|_| ())?;
+                let (head, body) = answer.into_parts();
+                let body = Limited::new(body, LARGEST_BODY).collect().await.map_err(|_| ())?;
+                Ok::<_, ()>(Response::from_parts(head, body.to_bytes()))
+            });
+            return match answer.await {
+                Ok(Ok(answer)) => {
+                    self.keep(d.addr, l);
+                    read(answer)
+                }
+                Ok(Err(())) if !l.meter.started() && !fresh => continue, // idle, and closed by the srv
+                Ok(Err(())) if !l.meter.whole() => Back::bare(Outcome::NoConnection),
+                Ok(Err(())) => Back::bare(Outcome::Reset),
+                Err(_) => {
+                    l.ending.because(Why::TimedOut);
+                    Back::bare(if l.meter.whole() { Outcome::TimedOut } else { Outcome::NoConnection })
+                }
+            };
+        }
+    }
+}
+
+fn message(d: &Dispatch, left: f64) -> Request<Full<Bytes>> {
+    let c = &d.carried;
+    let mut req = Request::new(Full::new(c.body.clone()));
+    *req.method_mut() = c.method.clone();
+    *req.uri_mut() = c.uri.clone();
+    let h = req.headers_mut();
+    h.insert(HOST, HeaderValue::from_static("api.internal"));
+    h.insert(REQ_ID, c.id.clone());
+    c.key.iter().for_each(|key| drop(h.insert(REQ_KEY, key.clone())));
+    if let Ok(left) = HeaderValue::from_str(&format!("{:.3}", left.max(0.001))) {
+        h.insert(WAIT, left);
+    }
+    if !c.body.is_empty() {
+        h.insert(CONTENT_LENGTH, HeaderValue::from(c.body.len()));
+    }
+    req
+}
+
+fn read(answer: Response<Bytes>) -> Back {
+    let (head, body) = answer.into_parts();
+    let text = |name: &HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
+    match head.status {
+        StatusCode::OK => {
+            let billed = text(&BILLED).and_then(|v| v.trim().parse::<f64>().ok());
+            let billed = billed.filter(|b| b.is_finite() && *b > 0.0).unwrap_or(0.0);
+            let made = Made { kind: head.headers.get(CONTENT_TYPE).cloned(), body };
+            Back { how: Outcome::Passed, made: Some(made), billed }
+        }
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT
+            if text(&NOT_RUN).is_some_and(|v| v.trim() == "1") =>
+        {
+            Back::bare(Outcome::Full)
+        }
+        _ => Back::bare(Outcome::Error),
+    }
+}
+
+impl Service<Dispatch> for Rc<Srvs> {
+    type Response = Back;
+    type Error = std::convert::Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Back, Self::Error>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), Self::Error>> {
+        Poll::Ready(Ok(()))
+    }
+    fn call(&mut self, d: Dispatch) -> Self::Future {
+        let call = Srvs::call(self.clone(), d);
+        Box::pin(async move { Ok(call.await) })
+    }
+}
+
+impl ServerSide for Srvs {
+    fn send(&self, d: Dispatch) -> Stop {
+        let (Some(me), Some(exchange)) = (self.me.upgrade(), self.exchange.upgrade()) else {
+            return Box::new(|| {});
+        };
+        let (req, nth) = (d.req, d.nth);
+        let task = tokio::task::spawn_local(async move {
+            let Ok(back) = me.oneshot(d).await;
+            exchange.ended(req, nth, back);
+        });
+        Box::new(move || task.abort())
+    }
+    fn close_idle(&self, addr: SocketAddr) {
+        for l in self.idle.borrow_mut().remove(&addr).into_iter().flatten() {
+            l.ending.because(Why::ClosedHere);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/routing/exchange.rs
@@ -0,0 +1,390 @@
+//! Where client side and server side meet. The exchange turns what either side reports into events, plays all
+//! events of one wakeup as one round of the decisions, and carries the actions out on the other side.
+
+use crate::program::clock::Clock;
+use crate::program::counters::Counters;
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::{Method, Uri};
+use lupinledge::control::Control;
+use lupinledge::link::{Action, Ended, Event, ListKind, NewReq, Outcome, SrvRow, SrvState, Terms};
+use lupinledge::time::{Point, Span};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use tokio::sync::{oneshot, Notify};
+
+/// What goes on from the client to a srv, as it came.
+pub struct Carried {
+    pub method: Method,
+    pub uri: Uri,
+    pub id: HeaderValue,
+    pub key: Option<HeaderValue>,
+    pub body: Bytes,
+}
+
+/// What a srv made for a req.
+#[derive(Debug)]
+pub struct Made {
+    pub kind: Option<HeaderValue>,
+    pub body: Bytes,
+}
+
+/// The final answer to a req.
+#[derive(Debug)]
+pub enum Answer {
+    Passed(Made),
+    Denied(Span),
+    Aborted,
+}
+
+/// One dispatch, for the server side.
+pub struct Dispatch {
+    pub req: u64,
+    pub nth: u16,
+    pub srv: u32,
+    pub addr: SocketAddr,
+    pub until: Point,
+    pub carried: Rc<Carried>,
+}
+
+/// How a dispatch ended; with `Passed` what the srv made, and its billed units or zero.
+pub struct Back {
+    pub how: Outcome,
+    pub made: Option<Made>,
+    pub billed: f64,
+}
+
+impl Back {
+    pub fn bare(how: Outcome) -> Back {
+        Back { how, made: None, billed: 0.0 }
+    }
+}
+
+/// Stops a dispatch when called: closes its connection, reports nothing.
+pub type Stop = Box<dyn FnOnce()>;
+
+pub trait ServerSide {
+    fn send(&self, d: Dispatch) -> Stop;
+    /// Closes the idle connections to an address.
+    fn close_idle(&self, addr: SocketAddr);
+}
+
+pub trait CounterSide {
+    fn add(&self, name: u64, amount: f64, life: Span);
+    /// All calls of a round are there.
+    fn flush(&self);
+}
+
+/// A srv's entry in the list, by its outside name.
+pub struct Entry {
+    pub name: String,
+    pub addr: SocketAddr,
+    pub row: SrvRow,
+}
+
+struct Out {
+    srv: u32,
+    sent: Point,
+    stop: Stop,
+}
+
+struct Open {
+    answer: Option<oneshot::Sender<Answer>>,
+    carried: Rc<Carried>,
+    ends: Point,
+    tries: Vec<Option<Out>>,
+}
+
+struct Srv {
+    addr: SocketAddr,
+    takes_new: bool,
+}
+
+pub struct Exchange {
+    pub clock: Clock,
+    pub counters: Rc<Counters>,
+    terms: Terms,
+    control: RefCell<Control>,
+    events: RefCell<Vec<Event>>,
+    open: RefCell<HashMap<u64, Open>>,
+    taken: Cell<u64>,
+    unanswered: Cell<usize>,
+    srvs: RefCell<Vec<Srv>>,
+    srv_ids: RefCell<HashMap<String, u32>>,
+    listed: Cell<bool>,
+    timer: Cell<Option<Point>>,
+    woken: Notify,
+    answered: Notify,
+    server_side: RefCell<Option<Rc<dyn ServerSide>>>,
+    counter_side: RefCell<Option<Rc<dyn CounterSide>>>,
+}
+
+/// A req that waits for its final answer; dropped before that, its client has left.
+pub struct Ticket {
+    id: u64,
+    exchange: Rc<Exchange>,
+    answer: oneshot::Receiver<Answer>,
+}
+
+impl Ticket {
+    pub async fn answer(mut self) -> Answer {
+        (&mut self.answer).await.unwrap_or(Answer::Aborted)
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.exchange.left(self.id);
+    }
+}
+
+impl Exchange {
+    pub fn new(terms: Terms, clock: Clock, counters: Rc<Counters>) -> Rc<Exchange> {
+        Rc::new(Exchange {
+            clock,
+            counters,
+            control: RefCell::new(Control::new(terms.clone())),
+            terms,
+            events: RefCell::default(),
+            open: RefCell::default(),
+            taken: Cell::new(0),
+            unanswered: Cell::new(0),
+            srvs: RefCell::default(),
+            srv_ids: RefCell::default(),
+            listed: Cell::new(false),
+            timer: Cell::new(None),
+            woken: Notify::new(),
+            answered: Notify::new(),
+            server_side: RefCell::new(None),
+            counter_side: RefCell::new(None),
+        })
+    }
+
+    pub fn attach(&self, server: Rc<dyn ServerSide>, counter: Option<Rc<dyn CounterSide>>) {
+        *self.server_side.borrow_mut() = Some(server);
+        *self.counter_side.borrow_mut() = counter;
+    }
+
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    /// Whether any list of srvs is there.
+    pub fn listed(&self) -> bool {
+        self.listed.get()
+    }
+
+    /// A req from the client side; ids from outside stop here.
+    pub fn take(self: &Rc<Exchange>, mut req: NewReq, carried: Carried) -> Ticket {
+        let id = self.taken.get() + 1;
+        self.taken.set(id);
+        req.id = id;
+        self.counters.taken.up();
+        self.unanswered.set(self.unanswered.get() + 1);
+        let (answer, wait) = oneshot::channel();
+        let ends = self.clock.now() + req.left;
+        let open = Open { answer: Some(answer), carried: Rc::new(carried), ends, tries: Vec::new() };
+        self.open.borrow_mut().insert(id, open);
+        self.tell(Event::Req(req));
+        Ticket { id, exchange: self.clone(), answer: wait }
+    }
+
+    fn left(&self, id: u64) {
+        let unanswered = self.open.borrow_mut().get_mut(&id).and_then(|o| o.answer.take());
+        if unanswered.is_some() {
+            self.counters.left.up();
+            self.settled();
+            self.tell(Event::Left { id });
+            self.forget(id);
+        }
+    }
+
+    fn settled(&self) {
+        self.unanswered.set(self.unanswered.get() - 1);
+        self.answered.notify_waiters();
+    }
+
+    /// Waits until each req taken has its final answer.
+    pub async fn all_answered(&self) {
+        while self.unanswered.get() > 0 {
+            self.answered.notified().await;
+        }
+    }
+
+    fn answer(&self, id: u64, answer: Answer) {
+        let Some(to) = self.open.borrow_mut().get_mut(&id).and_then(|o| o.answer.take()) else { return };
+        match answer {
+            Answer::Passed(_) => self.counters.passed.up(),
+            Answer::Denied(_) => self.counters.denied.up(),
+            Answer::Aborted => self.counters.aborted.up(),
+        }
+        let _ = to.send(answer);
+        self.settled();
+    }
+
+    /// Drops what is answered and has nothing out any more.
+    fn forget(&self, id: u64) {
+        let mut open = self.open.borrow_mut();
+        if open.get(&id).is_some_and(|o| o.answer.is_none() && o.tries.iter().all(Option::is_none)) {
+            open.remove(&id);
+        }
+    }
+
+    /// Asked before a dispatch's first byte, which may come long after it was sent for: a connection has to
+    /// come up first, and meanwhile the req may have ended or its srv begun to drain.
+    pub fn may_begin(&self, d: &Dispatch) -> bool {
+        let asked = self.open.borrow().get(&d.req).is_some_and(|o| o.answer.is_some());
+        let takes_new = self.srvs.borrow().get(d.srv as usize).is_some_and(|s| s.takes_new);
+        asked && takes_new && self.clock.now() < d.until
+    }
+
+    /// The end of a dispatch, from the server side.
+    pub fn ended(&self, req: u64, nth: u16, back: Back) {
+        let out = self.open.borrow_mut().get_mut(&req).and_then(|o| o.tries.get_mut(nth as usize)?.take());
+        let Some(out) = out else { return };
+        self.counters.dispatch.up(back.how);
+        if let Some(made) = back.made {
+            self.answer(req, Answer::Passed(made));
+        }
+        let closed = self.open.borrow().get(&req).is_none_or(|o| o.answer.is_none());
+        let took = self.clock.now() - out.sent;
+        let end = Ended { id: req, nth, how: back.how, took, closed, billed: back.billed };
+        self.tell(Event::Ended(end, Vec::new()));
+        self.forget(req);
+    }
+
+    pub fn counted(&self, name: u64, total: f64, how: Outcome) {
+        self.counters.counter_call.up(how);
+        self.tell(Event::Counted { name, total, how });
+    }
+
+    /// News of the list, from discovery.
+    pub fn list(&self, kind: ListKind, entries: Vec<Entry>) {
+        let mut rows = Vec::with_capacity(entries.len());
+        {
+            let (mut srvs, mut ids) = (self.srvs.borrow_mut(), self.srv_ids.borrow_mut());
+            if kind != ListKind::Delta {
+                srvs.iter_mut().for_each(|s| s.takes_new = false);
+            }
+            for e in entries {
+                let srv = Srv { addr: e.addr, takes_new: e.row.state == SrvState::Ready };
+                let i = *ids.entry(e.name).or_insert(srvs.len() as u32);
+                match srvs.get_mut(i as usize) {
+                    Some(s) => *s = srv,
+                    None => srvs.push(srv),
+                }
+                rows.push(SrvRow { srv: i, ..e.row });
+            }
+            self.listed.set(self.listed.get() || !srvs.is_empty());
+        }
+        self.tell(Event::List { kind, rows });
+    }
+
+    fn tell(&self, e: Event) {
+        self.events.borrow_mut().push(e);
+        self.woken.notify_one();
+    }
+
+    /// Plays rounds for good. All that one wakeup of the program brought is there when this task has its turn,
+    /// since it was put behind the tasks that were woken with the one that told it.
+    pub async fn drive(self: Rc<Exchange>) {
+        loop {
+            match self.timer.get() {
+                None => self.woken.notified().await,
+                Some(at) => tokio::select! {
+                    biased;
+                    _ = self.woken.notified() => {}
+                    _ = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                },
+            }
+            let now = self.clock.now();
+            if self.timer.get().is_some_and(|at| at <= now) {
+                self.timer.set(None);
+                self.events.borrow_mut().push(Event::Timer { token: 0 });
+            }
+            let events = std::mem::take(&mut *self.events.borrow_mut());
+            if !events.is_empty() {
+                self.round(now, events);
+            }
+        }
+    }
+
+    fn round(self: &Rc<Exchange>, now: Point, events: Vec<Event>) {
+        self.counters.rounds.up();
+        let mut actions = Vec::new();
+        self.control.borrow_mut().round(now, events, &mut actions);
+        for action in actions {
+            match action {
+                Action::Dispatch { id, srv, limit } => self.dispatch(now, id, srv, limit),
+                Action::Deny { id, back_off } => {
+                    self.answer(id, Answer::Denied(back_off));
+                    self.forget(id);
+                }
+                Action::Abort { id } => {
+                    self.answer(id, Answer::Aborted);
+                    self.forget(id);
+                }
+                Action::Cancel { id, nth } => self.cancel(id, nth),
+                Action::Count { name, amount, life } => {
+                    self.counters.counter_calls.up();
+                    match &*self.counter_side.borrow() {
+                        Some(counter) => counter.add(name, amount, life),
+                        None => self.counted(name, 0.0, Outcome::NoConnection),
+                    }
+                }
+                // one timer, as the decisions keep one: a new one is always the earlier
+                Action::Timer { after, .. } => self.timer.set(Some(now + after)),
+                Action::Close { srv } => {
+                    let addr = self.srvs.borrow().get(srv as usize).map(|s| s.addr);
+                    let server = self.server_side.borrow().clone();
+                    server.zip(addr).into_iter().for_each(|(s, addr)| s.close_idle(addr));
+                }
+                Action::Note { text } => log::info!("note {text}"),
+                // the list is always watched here; probes and talk with peers have no place on these sockets
+                Action::Watch { .. } | Action::Fetch | Action::Probe { .. } | Action::Tell { .. } => {}
+            }
+        }
+        self.counter_side.borrow().iter().for_each(|c| c.flush());
+    }
+
+    fn dispatch(self: &Rc<Exchange>, now: Point, id: u64, srv: u32, limit: Span) {
+        self.counters.dispatches.up();
+        let (addr, server) =
+            (self.srvs.borrow().get(srv as usize).map(|s| s.addr), self.server_side.borrow().clone());
+        let mut open = self.open.borrow_mut();
+        let (Some(o), Some(addr), Some(server)) = (open.get_mut(&id), addr, server) else { return };
+        let nth = o.tries.len() as u16;
+        let until = if limit == Span::ZERO { o.ends } else { o.ends.min(now + limit) };
+        let d = Dispatch { req: id, nth, srv, addr, until, carried: o.carried.clone() };
+        let unasked = o.answer.is_none();
+        o.tries.push(Some(Out { srv, sent: now, stop: Box::new(|| {}) }));
+        drop(open);
+        if unasked {
+            return self.ended(id, nth, Back::bare(Outcome::NotSent));
+        }
+        let stop = server.send(d);
+        if let Some(Some(out)) =
+            self.open.borrow_mut().get_mut(&id).and_then(|o| o.tries.get_mut(nth as usize))
+        {
+            out.stop = stop;
+        }
+    }
+
+    fn cancel(&self, id: u64, nth: u16) {
+        let out = self.open.borrow_mut().get_mut(&id).and_then(|o| o.tries.get_mut(nth as usize)?.take());
+        let Some(out) = out else { return };
+        (out.stop)();
+        self.counters.dispatch.up(Outcome::Cancelled);
+        let closed = self.open.borrow().get(&id).is_none_or(|o| o.answer.is_none());
+        let took = self.clock.now() - out.sent;
+        let end = Ended { id, nth, how: Outcome::Cancelled, took, closed, billed: 0.0 };
+        log::debug!("cancelled {id}/{nth} at srv {}", out.srv);
+        self.tell(Event::Ended(end, Vec::new()));
+        self.forget(id);
+    }
+}
+
+/// For the sides, which the exchange owns.
+pub type Meeting = Weak<Exchange>;
--- /dev/null
+++ b/gateway/src/routing/mod.rs
@@ -0,0 +1,1 @@
+pub mod exchange;
--- /dev/null
+++ b/gateway/src/transport/ending.rs
@@ -0,0 +1,85 @@
+//! Why a connection ended: a code for the log line that each one leaves.
+
+use std::cell::Cell;
+use std::fmt;
+use std::rc::Rc;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It ended before anybody here knew why: the task that held it was dropped at exit.
+    Exit,
+    PeerClosed,
+    PeerReset,
+    Malformed,
+    LeftMidway,
+    ClosedHere,
+    Drained,
+    Crowded,
+    Refused,
+    ConnectTime,
+    Idle,
+    Cancelled,
+    TimedOut,
+    Silent,
+    Unexpected,
+}
+
+impl Why {
+    pub fn code(self) -> &'static str {
+        match self {
+            Why::Exit => "exit",
+            Why::PeerClosed => "peer-closed",
+            Why::PeerReset => "peer-reset",
+            Why::Malformed => "malformed",
+            Why::LeftMidway => "left-midway",
+            Why::ClosedHere => "closed-here",
+            Why::Drained => "drained",
+            Why::Crowded => "crowded",
+            Why::Refused => "refused",
+            Why::ConnectTime => "connect-time",
+            Why::Idle => "idle",
+            Why::Cancelled => "cancelled",
+            Why::TimedOut => "timed-out",
+            Why::Silent => "silent",
+            Why::Unexpected => "unexpected",
+        }
+    }
+    pub fn of_dial(e: &std::io::Error) -> Why {
+        if e.kind() == std::io::ErrorKind::TimedOut {
+            Why::ConnectTime
+        } else {
+            Why::Refused
+        }
+    }
+    pub fn of_http(end: &hyper::Result<()>) -> Why {
+        match end {
+            Ok(()) => Why::PeerClosed,
+            Err(e) if e.is_parse() => Why::Malformed,
+            Err(e) if e.is_incomplete_message() => Why::LeftMidway,
+            Err(_) => Why::PeerReset,
+        }
+    }
+}
+
+/// Writes the line when dropped. The first reason given stands: what follows a closing is its result.
+pub struct Ending {
+    kind: &'static str,
+    peer: String,
+    why: Cell<Option<Why>>,
+}
+
+impl Ending {
+    pub fn of(kind: &'static str, peer: impl fmt::Display) -> Rc<Ending> {
+        Rc::new(Ending { kind, peer: peer.to_string(), why: Cell::new(None) })
+    }
+    pub fn because(&self, why: Why) {
+        self.why.set(self.why.get().or(Some(why)));
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        let code = self.why.get().unwrap_or(Why::Exit).code();
+        log::info!("ended {} {} code={code}", self.kind, self.peer);
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/listen.rs
@@ -0,0 +1,47 @@
+//! The listening socket: each connection accepted takes a place among the descriptors first.
+
+use super::descriptors::{Place, Share};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+pub struct Gate {
+    listener: TcpListener,
+    places: Rc<Share>,
+}
+
+impl Gate {
+    /// Binds; a port that a killed predecessor's connections still use is taken over.
+    pub fn open(addr: SocketAddr, places: Rc<Share>) -> std::io::Result<Gate> {
+        let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(addr)?;
+        Ok(Gate { listener: socket.listen(4096)?, places })
+    }
+    pub fn addr(&self) -> std::io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+    /// The next connection. With no place free, `room` is asked to make some until there is one; the
+    /// connection waits in the machine's queue meanwhile.
+    pub async fn next(&self, room: impl Fn()) -> (TcpStream, SocketAddr, Place) {
+        loop {
+            // looked at often: a connection that waits here has a req whose time runs
+            let Some(place) = self.places.take() else {
+                room();
+                tokio::time::sleep(Duration::from_millis(2)).await;
+                continue;
+            };
+            match self.listener.accept().await {
+                Ok((stream, peer)) if stream.set_nodelay(true).is_ok() => return (stream, peer, place),
+                Ok(_) => {}
+                Err(e) => {
+                    // out of descriptors all the same, or a connection reset while it waited
+                    log::warn!("accept: {e}");
+                    room();
+                    tokio::time::sleep(Duration::from_millis(2)).await;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/transport/mod.rs
@@ -0,0 +1,5 @@
+pub mod counted;
+pub mod descriptors;
+pub mod dial;
+pub mod ending;
+pub mod listen;
--- a/benchlink/src/terms.rs
+++ b/terms/src/lib.rs
@@ -1,4 +1,5 @@
-//! The settings text of an instance, decoded into the module's terms. Unknown keys are skipped.
+//! The settings text of a gateway, decoded into the module's terms and into what a host on sockets needs
+//! beside them. Unknown keys are skipped.
 
 use lupinledge::link::{Effect, Frontend, Group, Plan, Terms};
 use lupinledge::time::Span;
@@ -75,18 +76,51 @@
     })
 }
 
+/// What the module never sees: the names used outside, and figures of the connections.
+#[derive(Clone, Debug)]
+pub struct Outside {
+    pub frontends: Vec<String>,
+    pub plans: Vec<String>,
+    pub zones: Vec<String>,
+    pub keepalive: Span,
+    pub connect_wait: Span,
+}
+
+/// The settings as text, as the simulator hands them.
 pub fn decode(seed: u64, text: &[u8]) -> Result<Terms, String> {
-    let v: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let top = Part(&v, "settings");
-    let (limits, rules, fam) = (Part::of(&v, "limits")?, Part::of(&v, "rules")?, Part::of(&v, "familyInfo")?);
+    terms(seed, &serde_json::from_slice(text).map_err(|e| e.to_string())?)
+}
+
+pub fn outside(v: &Value) -> Result<Outside, String> {
+    let limits = Part::of(v, "limits")?;
+    let names = |key| -> Result<Vec<String>, String> {
+        list(v, key)?.iter().map(|p| Ok(p.word("name")?.to_string())).collect()
+    };
+    let zone = |z: &Value| z.as_str().map(str::to_string).ok_or("`zones` has an entry that is no text");
+    Ok(Outside {
+        frontends: names("classes")?,
+        plans: names("packages")?,
+        zones: zones(v)?.iter().map(zone).collect::<Result<_, _>>()?,
+        keepalive: limits.span("keepalive")?,
+        connect_wait: limits.span("connectTimeout")?,
+    })
+}
+
+fn zones(v: &Value) -> Result<&Vec<Value>, String> {
+    Ok(v.get("zones").and_then(Value::as_array).ok_or("no list `zones`")?)
+}
+
+pub fn terms(seed: u64, v: &Value) -> Result<Terms, String> {
+    let top = Part(v, "settings");
+    let (limits, rules, fam) = (Part::of(v, "limits")?, Part::of(v, "rules")?, Part::of(v, "familyInfo")?);
     Ok(Terms {
         seed,
         gateways: top.num("instances")? as usize,
         zone: top.num("locality")? as u16,
-        zones: v.get("zones").and_then(Value::as_array).ok_or("no list `zones`")?.len(),
+        zones: zones(v)?.len(),
         period: top.span("period")?,
-        frontends: list(&v, "classes")?.iter().map(frontend).collect::<Result<_, _>>()?,
-        plans: list(&v, "packages")?.iter().map(plan).collect::<Result<_, _>>()?,
+        frontends: list(v, "classes")?.iter().map(frontend).collect::<Result<_, _>>()?,
+        plans: list(v, "packages")?.iter().map(plan).collect::<Result<_, _>>()?,
         counter: fam.flag("sharedCounter")?,
         count_wait: fam.span("countWait")?,
         largest: fam.num("largest")?,
