Tests over sockets, stand-ins and example; a silent counter connection kept until replaced

Faulty: `talk` and `run` in `protocol/counter.rs` closed first and dialled after. Now the silent connection stays until a new one is up, and a reset on it starts the others' tries anew. In the same file calls that expire with no connection up are taken out of what is to be written: they had been told as never added.

--- /dev/null
+++ b/example/src/counter.rs
@@ -0,0 +1,123 @@
+//! The counter: RESP2, numbers by name that are forgotten after their life.
+
+use std::collections::HashMap;
+use std::io::{self, BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::thread::spawn;
+use std::time::{Duration, Instant};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Manner {
+    Answer,
+    Busy,
+    Silent,
+}
+
+#[derive(Default)]
+struct Record {
+    totals: HashMap<String, (f64, Instant)>,
+    calls: usize,
+    connections: usize,
+}
+
+#[derive(Clone)]
+pub struct Counter {
+    pub addr: SocketAddr,
+    manner: Arc<Mutex<Manner>>,
+    record: Arc<Mutex<Record>>,
+}
+
+impl Counter {
+    pub fn start(addr: &str, manner: Manner) -> io::Result<Counter> {
+        let listener = TcpListener::bind(addr)?;
+        let counter = Counter {
+            addr: listener.local_addr()?,
+            manner: Arc::new(Mutex::new(manner)),
+            record: Arc::default(),
+        };
+        let me = counter.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                me.record.lock().unwrap().connections += 1;
+                let me = me.clone();
+                spawn(move || me.serve(stream));
+            }
+        });
+        Ok(counter)
+    }
+
+    pub fn now(&self, manner: Manner) {
+        *self.manner.lock().unwrap() = manner;
+    }
+    pub fn calls(&self) -> usize {
+        self.record.lock().unwrap().calls
+    }
+    pub fn connections(&self) -> usize {
+        self.record.lock().unwrap().connections
+    }
+    /// The sum over all names that are not forgotten.
+    pub fn sum(&self) -> f64 {
+        let now = Instant::now();
+        self.record.lock().unwrap().totals.values().filter(|t| t.1 > now).map(|t| t.0).sum()
+    }
+
+    fn serve(self, stream: TcpStream) -> Option<()> {
+        let (mut from, mut to) = (BufReader::new(stream.try_clone().ok()?), stream);
+        while let Some(words) = read_call(&mut from).ok()? {
+            match *self.manner.lock().unwrap() {
+                Manner::Answer => to.write_all(self.answer(&words).as_bytes()).ok()?,
+                Manner::Busy => to.write_all(b"-BUSY try later\r\n").ok()?,
+                Manner::Silent => {}
+            }
+        }
+        Some(())
+    }
+
+    fn answer(&self, words: &[String]) -> String {
+        let mut record = self.record.lock().unwrap();
+        let verb = words.first().map(|w| w.to_ascii_uppercase()).unwrap_or_default();
+        let numbers =
+            (words.get(2).and_then(|w| w.parse::<f64>().ok()), words.get(3).map(|w| w.parse::<u64>()));
+        match (verb.as_str(), words.len(), numbers) {
+            ("PING", 1, _) => "+PONG\r\n".into(),
+            ("CLIENT" | "SELECT", ..) => "+OK\r\n".into(),
+            ("CNT.ADD", 4, (Some(add), Some(Ok(life @ 1..)))) if words[1].len() <= 64 => {
+                let now = Instant::now();
+                record.calls += 1;
+                let fresh = (0.0, now + Duration::from_millis(life.min(60_000)));
+                let total = record.totals.entry(words[1].clone()).or_insert(fresh);
+                if total.1 <= now {
+                    *total = fresh;
+                }
+                total.0 += add;
+                let text = format!("{}", total.0 as f32);
+                format!("${}\r\n{text}\r\n", text.len())
+            }
+            _ => "-ERR no such call\r\n".into(),
+        }
+    }
+}
+
+fn read_call(from: &mut impl BufRead) -> io::Result<Option<Vec<String>>> {
+    let mut number = |kind: char| -> io::Result<Option<usize>> {
+        let mut line = String::new();
+        if from.read_line(&mut line)? == 0 {
+            return Ok(None);
+        }
+        let n = line.trim_end().strip_prefix(kind).and_then(|n| n.parse().ok());
+        n.map(Some).ok_or(io::ErrorKind::InvalidData.into())
+    };
+    let Some(n) = number('*')? else { return Ok(None) };
+    let mut words = Vec::new();
+    for _ in 0..n {
+        let mut length = String::new();
+        from.read_line(&mut length)?;
+        let length = length.trim_end().strip_prefix('$').and_then(|n| n.parse::<usize>().ok());
+        let mut word = vec![0; length.filter(|l| *l <= 4096).ok_or(io::ErrorKind::InvalidData)? + 2];
+        from.read_exact(&mut word)?;
+        word.truncate(word.len() - 2);
+        words.push(String::from_utf8_lossy(&word).into_owned());
+    }
+    Ok(Some(words))
+}
--- a/gateway/src/program/start.rs
+++ b/gateway/src/program/start.rs
@@ -56,7 +56,7 @@
     let connect_wait = duration(told.outside.connect_wait);
     let counter = told.counter.map(|a| Counter::start(&exchange, a, told.terms.count_wait, connect_wait));
     exchange.attach(srvs, counter.clone().map(|c| c as Rc<dyn CounterSide>));
-    tokio::task::spawn_local(exchange.clone().drive());
+    let mut drive = tokio::task::spawn_local(exchange.clone().drive());
     let zones = told.outside.zones.clone();
     let discovery = Discovery::start(&exchange, told.discovery, zones, told.outside.connect_wait, told.known);
 
@@ -92,6 +92,8 @@
     tokio::select! {
         _ = accept.as_mut() => {}
         _ = signals.end() => {}
+        // nothing can be answered without it: whoever started the program has to know
+        fault = &mut drive => return Err(format!("the decisions ended: {fault:?}")),
     }
     log::info!("ending");
     clients.closing();
--- a/gateway/src/program/told.rs
+++ b/gateway/src/program/told.rs
@@ -47,7 +47,11 @@
         None => None,
         Some(k) => {
             let wire: WireMembers = serde_json::from_value(k.clone()).map_err(|e| format!("`known`: {e}"))?;
-            Some(wire.members(&outside.zones).map_err(|e| format!("`known`: {e}"))?)
+            let known = wire.members(&outside.zones);
+            if let Some(fault) = known.faults.first() {
+                return Err(format!("`known`: {fault}"));
+            }
+            Some(known)
         }
     };
     Ok(Told {
--- a/gateway/src/protocol/client.rs
+++ b/gateway/src/protocol/client.rs
@@ -22,8 +22,10 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::{timeout, Instant};
 use tower::Service;
 
 const REQ_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -35,6 +37,13 @@
 const LARGEST_BODY: usize = 64 * 1024;
 const HEALTH: &str = "/_health";
 
+/// A connection that is to end and has begun a req without ending it, or does not read its answer, is cut
+/// after so long: time enough for what is already under way on a network.
+const UNFINISHED: Duration = Duration::from_millis(250);
+
+/// So many connections at most are asked to make room at once: what is in use again meanwhile stays.
+const MAKING_ROOM: usize = 8;
+
 type Reply = Response<Full<Bytes>>;
 
 /// All client connections, and what their reqs are read by.
@@ -61,6 +70,17 @@
         self.why.set(self.why.get().or(Some(why)));
         self.stop.notify_one();
     }
+
+    /// Until no req was here for so long at a stretch.
+    async fn unused_for(&self, span: Duration) {
+        let mut since = Instant::now();
+        while since.elapsed() < span {
+            tokio::time::sleep(span / 10).await;
+            if self.busy.get() {
+                since = Instant::now();
+            }
+        }
+    }
 }
 
 impl Clients {
@@ -100,8 +120,9 @@
     /// Ends the connection that was opened first of those that nobody uses now.
     pub fn make_room(&self) {
         let links = self.links.borrow();
+        let ending = links.values().filter(|l| l.why.get() == Some(Why::Crowded)).count();
         let idle = links.values().find(|l| !l.busy.get() && l.why.get().is_none());
-        idle.into_iter().for_each(|l| l.end(Why::Crowded));
+        idle.filter(|_| ending < MAKING_ROOM).into_iter().for_each(|l| l.end(Why::Crowded));
     }
 
     /// Serves a connection until it ends.
@@ -124,7 +145,10 @@
                 end = conn.as_mut() => end,
                 _ = link.stop.notified() => {
                     conn.as_mut().graceful_shutdown();
-                    conn.as_mut().await
+                    tokio::select! {
+                        end = conn.as_mut() => end,
+                        _ = link.unused_for(UNFINISHED) => Ok(()),
+                    }
                 }
             };
             if let Some(why) = link.why.get().filter(|_| end.is_ok()) {
@@ -251,7 +275,8 @@
             return Err(malformed("Idempotency-Key: missing"));
         }
         let customer = head.uri.query().and_then(|q| q.split('&').find_map(|p| p.strip_prefix("client=")));
-        let customer = customer.filter(|c| c.len() == 16).and_then(|c| u64::from_str_radix(c, 16).ok());
+        let customer = customer.filter(|c| c.len() == 16 && c.bytes().all(|b| b.is_ascii_hexdigit()));
+        let customer = customer.and_then(|c| u64::from_str_radix(c, 16).ok());
         let customer = customer.filter(|c| *c < 1 << 33).ok_or_else(|| malformed("client: no customer"))?;
         let plan = text(&head.headers, &PLAN);
         let plan = self.outside.plans.iter().position(|p| Some(p.as_str()) == plan);
@@ -264,7 +289,12 @@
         let units = units.ok_or_else(|| malformed("Quota-Info: no units"))?;
         let spread = part(quota, "spread").filter(|s| (1.0..=MOST_UNITS).contains(s));
         let spread = spread.ok_or_else(|| malformed("Quota-Info: no spread"))?;
-        let body = if body.is_end_stream() { Bytes::new() } else { whole(body).await? };
+        let body = if body.is_end_stream() {
+            Bytes::new()
+        } else {
+            let late = |_| say(StatusCode::REQUEST_TIMEOUT, "body not whole in time");
+            timeout(Duration::from_secs_f64(left), whole(body)).await.map_err(late)??
+        };
         let new = NewReq {
             id: 0,
             frontend,
--- a/gateway/src/protocol/counter.rs
+++ b/gateway/src/protocol/counter.rs
@@ -26,9 +26,13 @@
 /// that are merely late, as at a counter some times slower, come well within it.
 const SILENT_WAITS: u32 = 8;
 
-/// Between two tries to connect: at once after an end, then doubled up to a second.
+/// After a connection that ended: soon, then doubled while each ends as soon as it is up.
 const BACK_OFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 
+/// Between two tries to connect, beside the time that a try itself takes. Each that hangs while the counter
+/// comes back is time without its totals, and a try costs it nothing while it is away.
+const RETRY: Duration = Duration::from_millis(50);
+
 struct Call {
     name: u64,
     until: Instant,
@@ -48,6 +52,8 @@
     sent: Cell<u64>,
     heard: Cell<Option<Instant>>,
     woken: Notify,
+    /// Whether a first try to connect has ended.
+    tried: Cell<bool>,
 }
 
 pub struct Counter {
@@ -56,7 +62,8 @@
     wait: Duration,
     connect_wait: Duration,
     lanes: Vec<Lane>,
-    tried: Cell<usize>,
+    /// The counter was away, and was heard of on one of the lanes.
+    back: Notify,
 }
 
 impl Counter {
@@ -68,14 +75,14 @@
     ) -> Rc<Counter> {
         let lanes = (0..LANES).map(|_| Lane::default()).collect();
         let (exchange, wait) = (Rc::downgrade(exchange), duration(wait));
-        let counter = Rc::new(Counter { exchange, addr, wait, connect_wait, lanes, tried: Cell::new(0) });
+        let counter = Rc::new(Counter { exchange, addr, wait, connect_wait, lanes, back: Notify::new() });
         (0..LANES).for_each(|i| drop(tokio::task::spawn_local(counter.clone().run(i))));
         counter
     }
 
     /// Whether each connection is up or has failed once.
     pub fn tried(&self) -> bool {
-        self.tried.get() >= LANES
+        self.lanes.iter().all(|l| l.tried.get())
     }
 
     /// Whether no call waits to be written.
@@ -92,48 +99,66 @@
     /// Keeps one connection up and reads from it.
     async fn run(self: Rc<Counter>, i: usize) {
         let lane = &self.lanes[i];
+        let mut next = None;
         let mut pause = BACK_OFF.0;
-        let mut first = true;
         loop {
-            let ending = Ending::of("counter", self.addr);
-            let mut dialled = std::pin::pin!(dial(self.addr, self.connect_wait));
-            let stream = loop {
-                tokio::select! {
-                    up = &mut dialled => break up,
-                    _ = self.due(lane) => self.expire(lane),
+            let stream = match next.take() {
+                Some(stream) => stream,
+                None => {
+                    let mut up = std::pin::pin!(self.connect(lane));
+                    loop {
+                        tokio::select! {
+                            stream = &mut up => break stream,
+                            _ = self.due(lane) => self.expire(lane),
+                        }
+                    }
                 }
             };
-            if std::mem::take(&mut first) {
-                self.tried.set(self.tried.get() + 1);
+            let (ending, since) = (Ending::of("counter", self.addr), Instant::now());
+            lane.heard.set(None);
+            let stream = Rc::new(stream);
+            *lane.stream.borrow_mut() = Some(stream.clone());
+            let why;
+            (why, next) = self.talk(lane, &stream).await;
+            ending.because(why);
+            *lane.stream.borrow_mut() = None;
+            self.broken(lane);
+            // one that is ended as soon as it is up is not hurried after
+            pause = if since.elapsed() > BACK_OFF.1 { BACK_OFF.0 } else { (pause * 2).min(BACK_OFF.1) };
+            if next.is_none() {
+                tokio::time::sleep(pause).await;
             }
-            let up = stream.is_ok();
-            match stream {
-                Ok(stream) => {
-                    lane.heard.set(None);
-                    let stream = Rc::new(stream);
-                    *lane.stream.borrow_mut() = Some(stream.clone());
-                    let since = Instant::now();
-                    ending.because(self.talk(lane, &stream).await);
-                    *lane.stream.borrow_mut() = None;
-                    self.broken(lane);
-                    if since.elapsed() > BACK_OFF.1 {
-                        pause = BACK_OFF.0;
+        }
+    }
+
+    /// Tries until a connection is up. A try that hangs is begun anew when the counter is heard of elsewhere:
+    /// the machine that is back knows nothing of it.
+    async fn connect(&self, lane: &Lane) -> TcpStream {
+        let mut failed = false;
+        loop {
+            let ending = Ending::of("counter", self.addr);
+            tokio::select! {
+                up = dial(self.addr, self.connect_wait) => {
+                    lane.tried.set(true);
+                    match up {
+                        Ok(stream) => {
+                            ending.silence();
+                            if failed {
+                                self.back.notify_waiters();
+                            }
+                            return stream;
+                        }
+                        Err(e) => ending.because(Why::of_dial(&e)),
+                    }
+                    drop(ending);
+                    tokio::select! {
+                        _ = tokio::time::sleep(RETRY) => {}
+                        _ = self.back.notified() => {}
                     }
                 }
-                Err(e) => {
-                    ending.because(Why::of_dial(&e));
-                    self.broken(lane);
-                }
-            }
-            drop(ending);
-            let again = Instant::now() + pause;
-            pause = (pause * 2).min(if up { BACK_OFF.1 } else { self.connect_wait.min(BACK_OFF.1) });
-            while Instant::now() < again {
-                tokio::select! {
-                    _ = tokio::time::sleep_until(again) => {}
-                    _ = self.due(lane) => self.expire(lane),
-                }
+                _ = self.back.notified() => ending.because(Why::ClosedHere),
             }
+            failed = true;
         }
     }
 
@@ -179,25 +204,31 @@
         }
     }
 
-    async fn talk(&self, lane: &Lane, stream: &TcpStream) -> Why {
+    /// Serves a connection until it ends or, silent for long, is replaced. The silent one is kept until the
+    /// new one is up: a machine that was cut off may go on where it was, or resets it and so tells it is back.
+    async fn talk(&self, lane: &Lane, stream: &TcpStream) -> (Why, Option<TcpStream>) {
         let (mut read, mut part) = (Vec::with_capacity(4096), [0u8; 4096]);
+        let mut other = std::pin::pin!(None);
         self.send(lane, stream);
         loop {
             let stuck = !lane.unsent.borrow().is_empty();
             tokio::select! {
                 biased;
                 ready = stream.readable() => {
-                    if ready.is_err() {
-                        return Why::PeerReset;
-                    }
-                    match stream.try_read(&mut part) {
-                        Ok(0) => return Why::PeerClosed,
-                        Ok(n) => {
+                    let got = ready.and_then(|_| stream.try_read(&mut part));
+                    match got {
+                        Ok(n) if n > 0 => {
                             lane.heard.set(Some(Instant::now()));
+                            other.set(None);
                             read.extend_from_slice(&part[..n]);
                         }
                         Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
-                        Err(_) => return Why::PeerReset,
+                        end => {
+                            if other.is_some() {
+                                self.back.notify_waiters();
+                            }
+                            return (if end.is_ok() { Why::PeerClosed } else { Why::PeerReset }, None);
+                        }
                     }
                     let mut used = 0;
                     loop {
@@ -207,16 +238,19 @@
                                 self.reply(lane, reply);
                             }
                             Ok(None) => break,
-                            Err(_) => return Why::Malformed,
+                            Err(_) => return (Why::Malformed, None),
                         }
                     }
                     read.drain(..used);
                 }
+                up = async { other.as_mut().as_pin_mut().expect("asked for").await }, if other.is_some() => {
+                    return (Why::Silent, Some(up));
+                }
                 _ = stream.writable(), if stuck => self.send(lane, stream),
                 _ = self.due(lane) => {
                     self.expire(lane);
-                    if self.silent(lane) {
-                        return Why::Silent;
+                    if other.is_none() && self.silent(lane) {
+                        other.set(Some(self.connect(lane)));
                     }
                 }
             }
--- a/gateway/src/protocol/discovery.rs
+++ b/gateway/src/protocol/discovery.rs
@@ -19,8 +19,9 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// An empty line comes every two seconds; after three that did not, the connection is taken to be dead.
-const SILENCE: Duration = Duration::from_millis(6500);
+/// An empty line comes every two seconds; after two that did not, the connection is taken to be dead. What a
+/// new one brings is then still in time: news counts as told six seconds after it is made.
+const SILENCE: Duration = Duration::from_millis(4500);
 
 /// Between two tries: doubled from the first to the second figure. The agent is on this machine and answers
 /// at no cost.
@@ -54,12 +55,21 @@
     pub generation: u64,
     pub whole: bool,
     pub entries: Vec<Entry>,
+    /// What is wrong with entries that were left out.
+    pub faults: Vec<String>,
 }
 
 impl WireMembers {
-    pub fn members(self, zones: &[String]) -> Result<Members, String> {
-        let entries = self.instances.into_iter().map(|m| m.entry(zones)).collect::<Result<_, _>>()?;
-        Ok(Members { generation: self.generation, whole: self.reset, entries })
+    pub fn members(self, zones: &[String]) -> Members {
+        let (generation, whole) = (self.generation, self.reset);
+        let mut m = Members { generation, whole, entries: Vec::new(), faults: Vec::new() };
+        for entry in self.instances {
+            match entry.entry(zones) {
+                Ok(e) => m.entries.push(e),
+                Err(fault) => m.faults.push(fault),
+            }
+        }
+        m
     }
 }
 
@@ -69,7 +79,7 @@
             "active" => SrvState::Ready,
             "leaving" => SrvState::Draining,
             "left" => SrvState::Gone,
-            other => return Err(format!("`lifecycle`: unknown `{other}`")),
+            _ => SrvState::Draining, // whatever it is in, it does not say that it takes new work
         };
         let addr = self.host_port.parse::<SocketAddr>();
         let addr = addr.map_err(|_| format!("`hostPort`: `{}` is no address", self.host_port))?;
@@ -194,7 +204,8 @@
 
     fn news(&self, line: &[u8]) -> Result<(), String> {
         let wire: WireMembers = serde_json::from_slice(line).map_err(|e| e.to_string())?;
-        let news = wire.members(&self.zones)?;
+        let news = wire.members(&self.zones);
+        news.faults.iter().for_each(|f| log::warn!("discovery: an entry left out: {f}"));
         self.generation.set(Some(news.generation));
         if news.whole || !news.entries.is_empty() {
             self.exchange.list(if news.whole { ListKind::Full } else { ListKind::Delta }, news.entries);
--- a/gateway/src/transport/ending.rs
+++ b/gateway/src/transport/ending.rs
@@ -6,8 +6,8 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
-    /// It ended before anybody here knew why: the task that held it was dropped at exit.
-    Exit,
+    /// What held it was ended: a try no longer needed, or the program at its exit.
+    Dropped,
     PeerClosed,
     PeerReset,
     Malformed,
@@ -27,7 +27,7 @@
 impl Why {
     pub fn code(self) -> &'static str {
         match self {
-            Why::Exit => "exit",
+            Why::Dropped => "dropped",
             Why::PeerClosed => "peer-closed",
             Why::PeerReset => "peer-reset",
             Why::Malformed => "malformed",
@@ -66,20 +66,28 @@
     kind: &'static str,
     peer: String,
     why: Cell<Option<Why>>,
+    silenced: Cell<bool>,
 }
 
 impl Ending {
     pub fn of(kind: &'static str, peer: impl fmt::Display) -> Rc<Ending> {
-        Rc::new(Ending { kind, peer: peer.to_string(), why: Cell::new(None) })
+        Rc::new(Ending { kind, peer: peer.to_string(), why: Cell::new(None), silenced: Cell::new(false) })
     }
     pub fn because(&self, why: Why) {
         self.why.set(self.why.get().or(Some(why)));
     }
+    /// No line: what was tried has become a connection, with an ending of its own.
+    pub fn silence(&self) {
+        self.silenced.set(true);
+    }
 }
 
 impl Drop for Ending {
     fn drop(&mut self) {
-        let code = self.why.get().unwrap_or(Why::Exit).code();
+        if self.silenced.get() {
+            return;
+        }
+        let code = self.why.get().unwrap_or(Why::Dropped).code();
         log::info!("ended {} {} code={code}", self.kind, self.peer);
     }
 }
--- /dev/null
+++ b/gateway/tests/sockets.rs
@@ -0,0 +1,507 @@
+//! Starts the program among stand-ins and speaks to it over sockets.
+
+use lupinledge_example::discovery::{entry, Discovery};
+use lupinledge_example::http::{Client, Message};
+use lupinledge_example::srv::{Manner, Srv};
+use lupinledge_example::{counter, counter::Counter};
+use serde_json::{json, Value};
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+const ANSWER: Manner = Manner::Answer(Duration::ZERO);
+const LONG: Duration = Duration::from_secs(15);
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Waits until something holds; fails when it never does.
+fn until(what: &str, holds: impl Fn() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONG, "never: {what}");
+        sleep(ms(5));
+    }
+}
+
+/// The program, killed when dropped.
+struct Gateway {
+    child: Child,
+    addr: SocketAddr,
+    log: Arc<Mutex<String>>,
+    discovery: Discovery,
+    counter: Counter,
+}
+
+/// The example's configuration with changes, in a file of its own.
+fn configuration(change: impl FnOnce(&mut Value)) -> std::path::PathBuf {
+    static FILES: AtomicU64 = AtomicU64::new(0);
+    let mut v: Value = serde_json::from_str(include_str!("../../example/config.json")).expect("JSON");
+    v["listen"] = json!("127.0.0.1:0");
+    change(&mut v);
+    let nth = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("lupinledge-{}-{nth}.json", std::process::id()));
+    std::fs::write(&path, v.to_string()).expect("a configuration file");
+    path
+}
+
+fn program(path: &std::path::Path) -> Command {
+    let mut c = Command::new(env!("CARGO_BIN_EXE_lupinledge"));
+    c.env("EDGE_CONFIG", path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    c
+}
+
+impl Gateway {
+    /// With these srvs, each in a zone of its own.
+    fn start(srvs: &[SocketAddr]) -> Gateway {
+        Gateway::with(srvs, |_| {})
+    }
+
+    fn with(srvs: &[SocketAddr], change: impl FnOnce(&mut Value)) -> Gateway {
+        let discovery = Discovery::start("127.0.0.1:0").expect("discovery");
+        let counter = Counter::start("127.0.0.1:0", counter::Manner::Answer).expect("counter");
+        if !srvs.is_empty() {
+            discovery.put(srvs.iter().enumerate().map(|(i, s)| row(i, *s, "active")).collect());
+        }
+        let path = configuration(|v| {
+            v["discovery"] = json!(discovery.addr.to_string());
+            v["counter"] = json!(counter.addr.to_string());
+            change(v);
+        });
+        let mut child = program(&path).spawn().expect("the program");
+        let log = Arc::new(Mutex::new(String::new()));
+        let (to, from) = (log.clone(), child.stderr.take().expect("its log"));
+        spawn(move || {
+            BufReader::new(from).lines().map_while(Result::ok).for_each(|l| {
+                let mut log = to.lock().unwrap();
+                log.push_str(&l);
+                log.push('\n');
+            })
+        });
+        let listens = |log: &str| -> Option<SocketAddr> {
+            log.split("listens on ").nth(1)?.lines().next()?.parse().ok()
+        };
+        until("it listens", || listens(&log.lock().unwrap()).is_some());
+        let addr = listens(&log.lock().unwrap()).expect("its address");
+        let gateway = Gateway { child, addr, log, discovery, counter };
+        if !srvs.is_empty() {
+            until("it is ready", || gateway.health() == 200);
+        }
+        gateway
+    }
+
+    fn health(&self) -> u16 {
+        self.ask(b"GET /_health HTTP/1.1\r\nHost: a\r\n\r\n").status()
+    }
+    /// One req on a connection of its own.
+    fn ask(&self, bytes: &[u8]) -> Message {
+        Client::to(self.addr).and_then(|mut c| c.ask(bytes)).expect("an answer").expect("a whole answer")
+    }
+    fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+    fn signal(&self, name: &str) {
+        let kill = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
+        assert!(kill.expect("a shell").success());
+    }
+    /// A counter's figure from the last line of counters.
+    fn count(&self, name: &str) -> Option<u64> {
+        let log = self.log();
+        let line = log.lines().rev().find(|l| l.contains(" counters "))?;
+        line.split(' ').find_map(|w| w.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn row(i: usize, addr: SocketAddr, lifecycle: &str) -> Value {
+    entry(&format!("s{i}"), addr, ["east", "west"][i % 2], lifecycle, 0)
+}
+
+fn srv(manner: Manner) -> Srv {
+    Srv::start("127.0.0.1:0", manner).expect("a srv")
+}
+
+/// An address at which nobody listens.
+fn nobody() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("an address")
+}
+
+/// A req with an id never used before.
+fn req(frontend: &str, plan: &str, wait: &str) -> String {
+    static IDS: AtomicU64 = AtomicU64::new(1);
+    let id = IDS.fetch_add(1, Ordering::Relaxed);
+    let method = if frontend == "quote" { "GET" } else { "POST" };
+    let key = if frontend == "order" { format!("Idempotency-Key: k{id}\r\n") } else { String::new() };
+    let body = if method == "GET" { "" } else { "Content-Length: 5\r\n" };
+    let customer = 0xb4d65521_u64 + (plan == "team") as u64 + 2 * (plan == "free") as u64;
+    format!(
+        "{method} /{frontend}/7?client={customer:016x} HTTP/1.1\r\nHost: api.internal\r\n\
+         X-Request-Id: {id:016x}\r\nPlan: {plan}\r\nX-Deadline: {wait}\r\n{key}{body}\
+         Quota-Info: units=1,spread=1,first=0\r\n\r\n{}",
+        if body.is_empty() { "" } else { "hello" }
+    )
+}
+
+#[test]
+fn a_req_goes_on_as_it_came_and_its_answer_comes_back() {
+    let s = srv(ANSWER);
+    let g = Gateway::start(&[s.addr]);
+    let answer = g.ask(req("order", "house", "1.500").as_bytes());
+    let seen = s.seen().remove(0);
+    assert_eq!(
+        (answer.status(), seen.start.as_str()),
+        (200, "POST /order/7?client=00000000b4d65521 HTTP/1.1")
+    );
+    let id = seen.header("x-request-id").expect("an id").to_string();
+    assert_eq!(answer.text(), format!("made for {id}\n"));
+    assert!(seen.header("idempotency-key").is_some_and(|k| k.starts_with('k')));
+    let wait: f64 = seen.header("x-deadline").and_then(|w| w.parse().ok()).expect("a wait");
+    assert!(wait > 0.0 && wait <= 1.5);
+    assert_eq!(seen.body, b"hello");
+}
+
+/// Nothing depends on how either side's bytes are cut.
+#[test]
+fn split_writes() {
+    let s = srv(Manner::Trickle);
+    let g = Gateway::start(&[s.addr]);
+    let mut c = Client::to(g.addr).unwrap();
+    for _ in 0..2 {
+        for b in req("order", "team", "3").as_bytes() {
+            c.write(&[*b]).unwrap();
+            sleep(Duration::from_micros(200));
+        }
+        assert_eq!(c.answer().unwrap().expect("an answer").status(), 200);
+    }
+    assert_eq!((s.seen().len(), s.connections()), (2, 1), "the connection to the srv is used again");
+}
+
+#[test_case("/quote", "/nothing", 404; "an unknown frontend")]
+#[test_case("X-Request-Id", "X-Other", 400; "no id")]
+#[test_case("client=00000000b4d65521", "client=b4d65521", 400; "a short customer")]
+#[test_case("client=00000000b4d65521", "client=+0000000b4d65521", 400; "a sign in the customer")]
+#[test_case("client=00000000b4d65521", "client=ffffffffffffffff", 400; "a customer past all")]
+#[test_case("Plan: house", "Plan: none", 400; "an unknown plan")]
+#[test_case("X-Deadline: 1", "X-Deadline: soon", 400; "no seconds to wait")]
+#[test_case("X-Deadline: 1", "X-Deadline: NaN", 400; "a wait that is no number")]
+#[test_case("X-Deadline: 1", "X-Deadline: -1", 400; "a wait below nothing")]
+#[test_case("units=1", "units=x", 400; "no units")]
+#[test_case("units=1", "units=1e300", 400; "units past all")]
+#[test_case("spread=1,", "", 400; "no spread")]
+#[test_case("GET /quote", "POST /quote", 405; "a method that is not the frontend's")]
+#[test_case("GET /quote", "POST /order", 400; "no mark on a uniqued req")]
+#[test_case("Host: api.internal", "Host api.internal", 400; "a header without a colon")]
+#[test_case("HTTP/1.1", "SPEECH/9", 400; "no HTTP")]
+#[test_case("GET /quote", "POST /notice", 200; "a sound one, for comparison")]
+fn malformed(from: &str, to: &str, status: u16) {
+    let s = srv(ANSWER);
+    let g = Gateway::start(&[s.addr]);
+    let text = req("quote", "house", "1").replace(from, to);
+    assert_eq!(g.ask(text.as_bytes()).status(), status, "{text}");
+    assert_eq!(s.seen().len(), (status == 200) as usize);
+    g.signal("USR1");
+    until("counters", || g.count("taken").is_some());
+    assert_eq!(g.count("taken"), Some((status == 200) as u64));
+}
+
+#[test_case("Content-Length: 65537\r\n\r\n", 413; "announced")]
+#[test_case("Transfer-Encoding: chunked\r\n\r\n10001\r\n", 413; "in chunks")]
+#[test_case("Content-Length: 65536\r\n\r\n", 200; "the largest that fits")]
+fn largest_body(head: &str, status: u16) {
+    let s = srv(ANSWER);
+    let g = Gateway::start(&[s.addr]);
+    let mut text = req("notice", "house", "2").replace("Content-Length: 5\r\n", "").into_bytes();
+    text.truncate(text.len() - "\r\nhello".len());
+    text.extend_from_slice(head.as_bytes());
+    text.resize(text.len() + if status == 200 { 65536 } else { 65537 }, b'x');
+    let mut c = Client::to(g.addr).unwrap();
+    let _ = c.write(&text); // the answer may come, and the connection end, before all of it is written
+    assert_eq!(c.answer().unwrap().expect("an answer").status(), status);
+    assert_eq!(s.seen().iter().filter(|m| m.body.len() == 65536).count(), (status == 200) as usize);
+}
+
+/// What never ran may go to another srv, also where a repeat is forbidden; what may have run may not.
+#[test_case("notice", None, 200; "refused")]
+#[test_case("notice", Some(Manner::Full), 200; "turned away")]
+#[test_case("notice", Some(Manner::Reset), 502; "reset after the last byte")]
+#[test_case("notice", Some(Manner::HalfAnswer), 502; "broken off within the answer")]
+#[test_case("notice", Some(Manner::Error), 502; "an error")]
+#[test_case("notice", Some(Manner::Silent), 502; "no answer")]
+#[test_case("quote", Some(Manner::Reset), 200; "reset, replayable")]
+#[test_case("quote", Some(Manner::Silent), 200; "no answer, replayable")]
+#[test_case("order", Some(Manner::Reset), 502; "reset, uniqued, the other srv in another group")]
+fn bad_srv(frontend: &str, manner: Option<Manner>, status: u16) {
+    let (bad, good) = (manner.map(srv), srv(ANSWER));
+    let at = bad.as_ref().map_or_else(nobody, |s| s.addr);
+    let g = Gateway::start(&[at, good.addr]);
+    let (mut worst, mut ids) = (200, 0);
+    // each srv is tried within some reqs; once the bad one is known, it is spared for a while
+    for _ in 0..12 {
+        let start = Instant::now();
+        let got = g.ask(req(frontend, "house", "1.2").as_bytes()).status();
+        assert!(start.elapsed() < ms(1300), "answered in time");
+        assert!(got == 200 || got == status, "{got}");
+        (worst, ids) = (worst.max(got), ids + 1);
+    }
+    let seen = [bad.map(|b| b.seen()).unwrap_or_default(), good.seen()];
+    let by_id = seen.each_ref().map(|s| {
+        let ids: BTreeSet<&str> = s.iter().filter_map(|m| m.header("x-request-id")).collect();
+        ids
+    });
+    assert_eq!(by_id[0].union(&by_id[1]).count(), ids, "each req came to a srv");
+    assert_eq!(worst, status);
+    if status == 502 {
+        assert_eq!(by_id[0].intersection(&by_id[1]).count(), 0, "none ran at both");
+        assert!(frontend == "order" || seen[0].len() + seen[1].len() == ids, "none came twice");
+    }
+}
+
+/// A connection reset before it took a byte, whenever that shows: no req runs twice, each is answered.
+#[test]
+fn reset_before_the_last_byte() {
+    let (bad, good) = (srv(Manner::ResetFirst), srv(ANSWER));
+    let g = Gateway::start(&[bad.addr, good.addr]);
+    let answers: Vec<u16> = (0..20).map(|_| g.ask(req("notice", "house", "1").as_bytes()).status()).collect();
+    assert!(answers.iter().all(|s| *s == 200 || *s == 502), "{answers:?}");
+    assert_eq!(good.seen().len(), answers.iter().filter(|s| **s == 200).count());
+    assert!(bad.connections() > 0 && bad.seen().is_empty());
+}
+
+/// The srv starts to drain while a connection to it comes up: the req doesn't go there any more.
+#[test]
+fn drain_while_connecting() {
+    let late = Srv::start_late("127.0.0.1:0", ms(600)).unwrap();
+    let good = srv(ANSWER);
+    let g = Gateway::with(&[late.addr], |v| v["settings"]["limits"]["connectTimeout"] = json!(4));
+    let (addr, text) = (g.addr, req("notice", "house", "5"));
+    let asked = spawn(move || Client::to(addr).unwrap().ask(text.as_bytes()).unwrap().unwrap().status());
+    sleep(ms(200));
+    g.discovery.put(vec![row(0, late.addr, "leaving"), row(1, good.addr, "active")]);
+    assert!([200, 429, 502].contains(&asked.join().unwrap()));
+    until("the connection came up", || late.connections() > 0);
+    sleep(ms(300));
+    assert_eq!(late.seen().len(), 0);
+    assert_eq!(g.ask(req("notice", "house", "1").as_bytes()).status(), 200);
+}
+
+/// A client that leaves: its dispatch is given up, nothing more is sent for it, its lease comes back.
+#[test]
+fn client_gone() {
+    let s = srv(Manner::Silent);
+    let g = Gateway::start(&[s.addr]);
+    let mut c = Client::to(g.addr).unwrap();
+    c.write(req("quote", "team", "2").as_bytes()).unwrap();
+    until("it is out", || s.seen().len() == 1);
+    until("its lease is taken", || g.counter.sum() > 0.5);
+    drop(c);
+    until("its connection to the srv ends", || g.log().contains("ended srv"));
+    until("its lease is back", || g.counter.sum() < 0.5);
+    sleep(ms(300));
+    assert_eq!(s.seen().len(), 1);
+    g.signal("USR1");
+    until("counters", || g.count("left") == Some(1));
+    assert_eq!((g.count("taken"), g.count("dispatch.cancelled")), (Some(1), Some(1)));
+}
+
+/// A counter that turns calls away or says nothing: reqs are answered all the same, each in its time.
+#[test_case(counter::Manner::Busy; "busy")]
+#[test_case(counter::Manner::Silent; "silent")]
+fn sick_counter(manner: counter::Manner) {
+    let s = srv(ANSWER);
+    let g = Gateway::start(&[s.addr]);
+    let before = g.counter.connections();
+    g.counter.now(manner);
+    let start = Instant::now();
+    let mut passed = 0;
+    for plan in ["team", "free"].into_iter().cycle() {
+        let asked = Instant::now();
+        let status = g.ask(req("quote", plan, "1").as_bytes()).status();
+        assert!(asked.elapsed() < ms(1050) && (status == 200 || status == 429), "{status}");
+        passed += (status == 200) as usize;
+        if start.elapsed() > ms(2500) {
+            break;
+        }
+        sleep(ms(20));
+    }
+    assert!(passed > 4, "by the room left: {passed}");
+    let silent = manner == counter::Manner::Silent;
+    assert_eq!(g.log().contains("ended counter") && g.counter.connections() > before, silent);
+    g.counter.now(counter::Manner::Answer);
+    let calls = g.counter.calls();
+    until("the counter is used again", || {
+        g.ask(req("quote", "team", "1").as_bytes());
+        g.counter.calls() > calls + 5
+    });
+}
+
+/// A quota holds, and a denial says when to come back.
+#[test]
+fn quota() {
+    let s = srv(ANSWER);
+    let g = Gateway::start(&[s.addr]);
+    let answers: Vec<Message> = (0..40).map(|_| g.ask(req("quote", "free", "1").as_bytes())).collect();
+    let passed = answers.iter().filter(|a| a.status() == 200).count();
+    // a store of 4 at 2 a second; twice that where the window's name rolls just now
+    assert!((3..=14).contains(&passed), "{passed}");
+    assert_eq!(s.seen().len(), passed);
+    let hint = answers.iter().filter(|a| a.status() == 429).find_map(|a| a.header("retry-after"));
+    assert!(hint.and_then(|h| h.parse::<f64>().ok()).is_some_and(|h| h > 0.0 && h <= 0.5), "{hint:?}");
+}
+
+/// At SIGTERM under load: all that was taken is answered, connections end, the exit is clean.
+#[test]
+fn sigterm_under_load() {
+    let s = srv(Manner::Answer(ms(40)));
+    let mut g = Gateway::start(&[s.addr]);
+    let ended = Arc::new(Mutex::new(None::<Instant>));
+    let clients: Vec<_> = (0..8)
+        .map(|_| {
+            let (addr, ended) = (g.addr, ended.clone());
+            spawn(move || {
+                let (mut answers, mut closes) = (0, 0);
+                let mut link: Option<Client> = None;
+                loop {
+                    let since = ended.lock().unwrap().map(|e| e.elapsed());
+                    // the front hears of the end within 0.4 s
+                    if since.is_some_and(|s| s > ms(400)) {
+                        return (answers, closes);
+                    }
+                    let mut c = link.take().unwrap_or_else(|| Client::to(addr).expect("still taken in"));
+                    let a = c.ask(req("quote", "house", "2").as_bytes()).unwrap().expect("not lost");
+                    assert!([200, 429].contains(&a.status()));
+                    answers += 1;
+                    match a.header("connection") {
+                        Some("close") => closes += 1,
+                        _ => link = Some(c),
+                    }
+                }
+            })
+        })
+        .collect();
+    let idle = Client::to(g.addr).unwrap();
+    sleep(ms(400));
+    *ended.lock().unwrap() = Some(Instant::now());
+    g.signal("TERM");
+    let sums = clients.into_iter().map(|c| c.join().expect("all answered"));
+    let (answers, closes) = sums.fold((0, 0), |a, c| (a.0 + c.0, a.1 + c.1));
+    assert!(closes > 0 && answers > closes);
+    let status = g.child.wait().unwrap();
+    assert!(status.success(), "{status}");
+    drop(idle);
+    let all = ["passed", "denied"].map(|n| g.count(n).expect("counters at exit"));
+    assert_eq!((g.count("taken"), all[0] + all[1]), (Some(answers), answers));
+}
+
+/// A client that has begun a req and never ends it holds nobody up.
+#[test]
+fn sigterm_beside_an_unfinished_req() {
+    let s = srv(ANSWER);
+    let mut g = Gateway::start(&[s.addr]);
+    let mut c = Client::to(g.addr).unwrap();
+    c.write(b"GET /quote/7?client=").unwrap();
+    sleep(ms(100));
+    let start = Instant::now();
+    g.signal("TERM");
+    assert!(g.child.wait().unwrap().success() && start.elapsed() < ms(4000));
+}
+
+/// More connections than descriptors: each is served in its turn, idle and unfinished ones make room.
+#[test]
+fn descriptors_used_up() {
+    let s = srv(Manner::Answer(ms(30)));
+    let g = Gateway::with(&[s.addr], |v| v["limits"]["sockets"] = json!(64));
+    let mut stalled: Vec<Client> = (0..40).filter_map(|_| Client::to(g.addr).ok()).collect();
+    stalled.iter_mut().for_each(|c| c.write(b"GET /quo").unwrap());
+    let clients: Vec<_> = (0..80)
+        .map(|_| {
+            let addr = g.addr;
+            spawn(move || {
+                let mut c = Client::to(addr).unwrap();
+                c.ask(req("quote", "house", "2").as_bytes()).unwrap().expect("an answer").status()
+            })
+        })
+        .collect();
+    let answers: Vec<u16> = clients.into_iter().map(|c| c.join().expect("answered")).collect();
+    assert!(answers.iter().all(|a| [200, 429].contains(a)), "{answers:?}");
+    assert!(answers.contains(&200));
+    assert_eq!(g.health(), 200);
+    let held = std::fs::read_dir(format!("/proc/{}/fd", g.child.id())).unwrap().count();
+    assert!(held <= 64, "{held} descriptors");
+}
+
+/// Connections to srvs go before the srv closes them, and are used again until then.
+#[test]
+fn idle_connections() {
+    let s = srv(ANSWER);
+    let g = Gateway::with(&[s.addr], |v| v["settings"]["limits"]["keepalive"] = json!(1));
+    for _ in 0..3 {
+        assert_eq!(g.ask(req("quote", "house", "1").as_bytes()).status(), 200);
+    }
+    assert_eq!(s.connections(), 1);
+    until("it is closed", || g.log().contains("code=idle"));
+    assert_eq!(g.ask(req("quote", "house", "1").as_bytes()).status(), 200);
+    assert_eq!(s.connections(), 2);
+}
+
+/// `/_health` waits for a list; a watch that falls silent is opened anew and goes on.
+#[test]
+fn discovery_late_and_silent() {
+    let (first, second) = (srv(ANSWER), srv(ANSWER));
+    let g = Gateway::start(&[]);
+    sleep(ms(200));
+    assert_eq!(g.health(), 503);
+    g.discovery.put(vec![row(0, first.addr, "active")]);
+    until("it is ready", || g.health() == 200);
+    g.discovery.mute(true);
+    let watches = g.discovery.watches();
+    until("the watch is opened anew", || g.discovery.watches() > watches);
+    g.discovery.put(vec![row(0, first.addr, "left"), row(1, second.addr, "active")]);
+    g.discovery.mute(false);
+    until("the new list is followed", || {
+        assert_eq!(g.ask(req("quote", "house", "1").as_bytes()).status(), 200);
+        !second.seen().is_empty()
+    });
+}
+
+/// An old list serves while discovery is down.
+#[test]
+fn known_list() {
+    let s = srv(ANSWER);
+    let known = json!({"generation": 3, "reset": true, "instances": [row(0, s.addr, "active")]});
+    let g = Gateway::with(&[], |v| {
+        v["discovery"] = json!(nobody().to_string());
+        v["known"] = known;
+    });
+    until("it is ready", || g.health() == 200);
+    assert_eq!(g.ask(req("quote", "house", "1").as_bytes()).status(), 200);
+}
+
+#[test_case(|v| v["listen"] = json!("somewhere"), "`listen`"; "no address")]
+#[test_case(|v| v["seed"] = json!("zz"), "`seed`"; "no seed")]
+#[test_case(|v| v["limits"]["sockets"] = json!(10), "`limits.sockets`"; "too few descriptors")]
+#[test_case(|v| v["counter"] = Value::Null, "`counter`"; "no counter")]
+#[test_case(|v| v["settings"]["classes"][1]["slo"] = json!("x"), "`classes.slo`"; "a text for a number")]
+#[test_case(|v| v["settings"]["zones"] = json!([1]), "`zones`"; "a number for a name")]
+#[test_case(|v| v["known"] = json!({"generation": 1}), "`known`"; "a list without entries")]
+#[test_case(|v| v["known"] = json!({"generation": 1, "instances": [{"instanceId": "a", "hostPort": "b",
+    "lifecycle": "active"}]}), "`hostPort`"; "an entry without an address")]
+#[test_case(|v| { v.as_object_mut().unwrap().remove("settings"); }, "`settings`"; "no settings")]
+fn bad_configuration(change: fn(&mut Value), named: &str) {
+    let out = program(&configuration(change)).output().expect("the program");
+    let log = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success() && log.contains(named), "{log}");
+    assert!(!log.contains("panicked"), "{log}");
+}
