Counter answers read once each; tokio's local runtime

Seen: 620 of 1,952 reads in 8 s found nothing, as many as answers of the counter; each answer was read by `readable` and `try_read`, which leaves a socket marked as readable after a read that emptied it.

Excluded: hyper's connections (no such reads among theirs). The runtime's wake-up pipe, 890 writes in 8 s, was taken for the LocalSet's work; with tokio's local runtime they are as many, so that is not the cause. A trace shows each write right after a timer that fired: setting the next timer wakes the driver.

Faulty: `talk` in `protocol/counter.rs`; it now reads through the stream's own half. The local runtime stays: one scheduler instead of two, at no cost.

--- a/gateway/src/program/start.rs
+++ b/gateway/src/program/start.rs
@@ -15,7 +15,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::LocalSet;
+use tokio::runtime::{Builder, LocalOptions};
 use tokio::time::{sleep, timeout};
 
 /// Descriptors of the program itself: standard streams, the runtime's and the signals' pipes, the listener,
@@ -31,9 +31,9 @@
 pub fn main() -> ExitCode {
     logger::start();
     let ended = told::read().and_then(|told| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, serve(told))
+        // a `LocalSet` in a plain runtime would write to the wake-up pipe for each socket event
+        let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+        runtime.map_err(|e| format!("runtime: {e}"))?.block_on(serve(told))
     });
     let code = match ended {
         Ok(()) => ExitCode::SUCCESS,
--- a/gateway/src/protocol/counter.rs
+++ b/gateway/src/protocol/counter.rs
@@ -10,10 +10,11 @@
 use lupinledge::time::Span;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -44,7 +45,7 @@
 
 #[derive(Default)]
 struct Lane {
-    stream: RefCell<Option<Rc<TcpStream>>>,
+    to: RefCell<Option<OwnedWriteHalf>>,
     calls: RefCell<VecDeque<Call>>,
     unsent: RefCell<Vec<u8>>,
     /// All bytes ever put to be written here, and of them those that the machine took.
@@ -116,12 +117,12 @@
             };
             let (ending, since) = (Ending::of("counter", self.addr), Instant::now());
             lane.heard.set(None);
-            let stream = Rc::new(stream);
-            *lane.stream.borrow_mut() = Some(stream.clone());
+            let (from, to) = stream.into_split();
+            *lane.to.borrow_mut() = Some(to);
             let why;
-            (why, next) = self.talk(lane, &stream).await;
+            (why, next) = self.talk(lane, from).await;
             ending.because(why);
-            *lane.stream.borrow_mut() = None;
+            *lane.to.borrow_mut() = None;
             self.broken(lane);
             // one that is ended as soon as it is up is not hurried after
             pause = if since.elapsed() > BACK_OFF.1 { BACK_OFF.0 } else { (pause * 2).min(BACK_OFF.1) };
@@ -176,7 +177,7 @@
 
     fn expire(&self, lane: &Lane) {
         let now = Instant::now();
-        let down = lane.stream.borrow().is_none();
+        let down = lane.to.borrow().is_none();
         let mut ended = Vec::new();
         {
             let mut calls = lane.calls.borrow_mut();
@@ -207,23 +208,21 @@
 
     /// Serves a connection until it ends or, silent for long, is replaced. The silent one is kept until the
     /// new one is up: a machine that was cut off may go on where it was, or resets it and so tells it is back.
-    async fn talk(&self, lane: &Lane, stream: &TcpStream) -> (Why, Option<TcpStream>) {
+    async fn talk(&self, lane: &Lane, mut from: OwnedReadHalf) -> (Why, Option<TcpStream>) {
         let (mut read, mut part) = (Vec::with_capacity(4096), [0u8; 4096]);
         let mut other = std::pin::pin!(None);
-        self.send(lane, stream);
+        self.send(lane);
         loop {
             let (stuck, replaced) = (!lane.unsent.borrow().is_empty(), other.is_some());
             tokio::select! {
                 biased;
-                ready = stream.readable() => {
-                    let got = ready.and_then(|_| stream.try_read(&mut part));
+                got = from.read(&mut part) => {
                     match got {
                         Ok(n) if n > 0 => {
                             lane.heard.set(Some(Instant::now()));
                             other.set(None);
                             read.extend_from_slice(&part[..n]);
                         }
-                        Err(e) if e.kind() == ErrorKind::WouldBlock => continue,
                         end => {
                             if replaced {
                                 self.back.notify_waiters();
@@ -247,7 +246,8 @@
                 up = async { other.as_mut().as_pin_mut().expect("asked for").await }, if replaced => {
                     return (Why::Silent, Some(up));
                 }
-                _ = stream.writable(), if stuck => self.send(lane, stream),
+                // the machine takes no more for now: rare, and not worth a waker of its own
+                _ = tokio::time::sleep(Duration::from_millis(1)), if stuck => self.send(lane),
                 _ = self.due(lane, !replaced) => {
                     self.expire(lane);
                     if !replaced && self.silent_at(lane).is_some_and(|at| at <= Instant::now()) {
@@ -277,16 +277,13 @@
     }
 
     /// Writes what the machine takes now.
-    fn send(&self, lane: &Lane, stream: &TcpStream) {
-        let mut unsent = lane.unsent.borrow_mut();
+    fn send(&self, lane: &Lane) {
+        let (to, mut unsent) = (lane.to.borrow(), lane.unsent.borrow_mut());
         while !unsent.is_empty() {
-            match stream.try_write(&unsent) {
-                Ok(n) => {
-                    unsent.drain(..n);
-                    lane.sent.set(lane.sent.get() + n as u64);
-                }
-                Err(_) => return, // full, or broken: the reader finds out
-            }
+            // full, or broken, which the reader finds out
+            let Some(Ok(n)) = to.as_ref().map(|to| to.try_write(&unsent)) else { return };
+            unsent.drain(..n);
+            lane.sent.set(lane.sent.get() + n as u64);
         }
     }
 }
@@ -308,12 +305,6 @@
         calls.push_back(call);
     }
     fn flush(&self) {
-        for lane in &self.lanes {
-            if let Some(stream) = lane.stream.borrow().clone() {
-                if !lane.unsent.borrow().is_empty() {
-                    self.send(lane, &stream);
-                }
-            }
-        }
+        self.lanes.iter().for_each(|lane| self.send(lane));
     }
 }
