Reqs that are over wake nobody; waiters that can no longer be in time are not sent

Most belonged to reqs long answered: their wakes (overdue, target, end) stayed, and were played on whatever req had the slot since.

Faulty: `wakes` in `control.rs` held slots only. They now hold the req's id, and those of reqs that are gone are dropped without a timer (`Wakes` in `tables.rs`).

Guards against wakeups for nothing and against sending a req whose usual time has grown past its target; it would do harm if usual times were overestimated for long, which the bound of half the target limits. Scenarios: wakes, late.

--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,6 @@
 pub use crate::tables::Control;
 use crate::tables::*;
 use crate::time::{Point, Span};
-use std::cmp::Reverse;
 
 fn blend(old: &mut f64, new: f64, share: f64) {
     *old += (new - *old) * share;
@@ -56,9 +55,9 @@
             let all = &self.customers;
             self.dirty.extend((0..all.len()).filter(|&c| all[c].leased > 1e-6));
         }
-        while let Some(&Reverse((_, slot))) = self.wakes.peek().filter(|w| w.0 .0 <= now) {
-            self.wakes.pop();
-            self.review(slot); // of whatever req the slot has now: a review too many does no harm
+        while let Some((_, slot)) = self.wakes.first(&self.reqs).filter(|w| w.0 <= now) {
+            self.wakes.pop(); // those of reqs that are gone set no timer: they would be most of all wakeups
+            self.review(slot);
         }
         self.pump();
         self.settle(acts);
@@ -126,8 +125,7 @@
             (s.zone[i], s.cell[i], s.ready[i]) = (row.zone, row.cell, row.state == SrvState::Ready);
             if new || s.born[i] != row.born {
                 s.start(i, row.born, self.terms.plans.len());
-                // its first send comes at another time at each gateway, else all of them would come at once
-                s.tokens[i] = self.rng.f64();
+                s.tokens[i] = self.rng.f64(); // else all gateways' first sends would come at once
             }
         }
         let ready = s.open().count() as f64;
@@ -152,7 +150,7 @@
         self.srvs.evidence[i] = (self.srvs.evidence[i] + weight).max(0.0);
         if self.srvs.evidence[i] >= CONVICTED {
             (self.srvs.evidence[i], self.srvs.distrust[i]) = (CONVICTED / 2.0, 1.0);
-            self.wakes.extend(self.reqs.running_at(i).into_iter().map(|slot| Reverse((self.now, slot))));
+            self.reqs.running_at(i).into_iter().for_each(|(slot, id)| self.wakes.push(self.now, slot, id));
         }
     }
 
@@ -223,7 +221,7 @@
         let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
         let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
         let slot = self.reqs.put(n.id, r);
-        self.wakes.push(Reverse((ends, slot)));
+        self.wakes.push(ends, slot, n.id);
         let (rated, cap) = (p.rate > 0.0, p.at_once as f64);
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
@@ -277,16 +275,19 @@
     fn admit(&mut self, slot: usize) {
         let Some(r) = self.reqs.at_mut(slot) else { return };
         r.stage = Stage::Waiting;
-        let (c, target, f) = (r.customer, r.target, r.frontend);
-        self.wakes.push(Reverse((target - Span::from_secs(self.typical(f)), slot)));
-        // newest first: where a customer waits at all, its older reqs are the likelier to be late anyway
-        self.line.join(c, slot);
+        let (c, target, f, id) = (r.customer, r.target, r.frontend, r.id);
+        self.wakes.push(target - Span::from_secs(self.typical(f)), slot, id);
+        self.line.join(c, slot); // newest first: where a customer waits, its older reqs are likelier late
     }
 
     /// Weighted deficit round robin over customers (DESIGN). The limit is held on average, by one place at
     /// the most: else reqs wait at the one place of a gateway while the others' stand free.
     fn pump(&mut self) {
         while let Some((c, slot)) = self.line.head() {
+            let late = |r: &Req| self.now >= r.target.min(r.ends) - Span::from_secs(self.typical(r.frontend));
+            if self.reqs.at(slot).is_some_and(late) {
+                self.end(slot); // usual times grew while it waited: sent now, it would only be wasted
+            }
             let waits = |r: &Req| r.stage == Stage::Waiting && r.customer == c && r.end.is_none();
             if !self.reqs.at(slot).is_some_and(waits) {
                 self.line.leave();
@@ -344,7 +345,7 @@
     fn review(&mut self, slot: usize) {
         let live = |r: &&Req| r.end.is_none() && !r.begun && r.stage != Stage::Over;
         let Some(r) = self.reqs.at(slot).filter(live) else { return };
-        let (f, stage) = (r.frontend, r.stage);
+        let (f, stage, id) = (r.frontend, r.stage, r.id);
         // late answers may earn something too, but a queue that only makes late is no use
         let late_too = self.terms.frontends[f].late_value > 0.0 && stage == Stage::Out;
         let by = if late_too { r.ends } else { r.target.min(r.ends) };
@@ -352,9 +353,8 @@
         if self.now >= r.ends || stage == Stage::Waiting && self.now >= give_up {
             return self.end(slot);
         }
-        let soon = self.now + Span::millis(5);
         match stage {
-            Stage::Waiting => return self.wakes.push(Reverse((give_up.max(soon), slot))),
+            Stage::Waiting => return self.wakes.push(give_up.max(self.now + Span::millis(5)), slot, id),
             Stage::Out => {}
             _ => return,
         }
@@ -384,7 +384,7 @@
             Some(srv) => self.send(slot, srv),
             None if running > 0 => {}
             None if self.now < give_up && self.srvs.open().any(|i| self.may_go(slot, i)) => {
-                self.wakes.push(Reverse((self.now + Span::millis(20), slot)))
+                self.wakes.push(self.now + Span::millis(20), slot, id)
             }
             None => self.end(slot),
         }
@@ -638,7 +638,7 @@
             for t in r.tries.iter_mut().filter(|t| !t.told) {
                 t.told = true;
                 acts.push(Action::Dispatch { id: r.id, srv: self.srvs.door.id(t.srv) as u32, limit });
-                self.wakes.push(Reverse((self.now.later(after), slot)));
+                self.wakes.push(self.now.later(after), slot, r.id);
             }
             if let Some(end) = r.end.clone().filter(|_| r.stage != Stage::Over) {
                 acts.push(end);
@@ -655,7 +655,7 @@
         }
         self.tell(acts);
         std::mem::take(&mut self.dirty).into_iter().for_each(|c| self.put_counts(c, acts));
-        let next = self.wakes.peek().map_or(self.second_at, |Reverse(w)| w.0.min(self.second_at));
+        let next = self.wakes.first(&self.reqs).map_or(self.second_at, |w| w.0.min(self.second_at));
         let next = next.max(self.now + Span::millis(1));
         if self.armed.is_none_or(|a| next < a) {
             self.armed = Some(next);
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -193,10 +193,33 @@
 }
 
 impl Slab<Req> {
-    /// The slots of reqs with a dispatch running at a srv.
-    pub fn running_at(&self, srv: usize) -> Vec<usize> {
-        let there = |r: &Req| r.tries.iter().any(|t| t.running && t.srv == srv);
-        (0..self.slots.len()).filter(|&slot| self.at(slot).is_some_and(there)).collect()
+    /// The slots and ids of reqs with a dispatch running at a srv.
+    pub fn running_at(&self, srv: usize) -> Vec<(usize, u64)> {
+        let there = |r: &&Req| r.tries.iter().any(|t| t.running && t.srv == srv);
+        (0..self.slots.len()).filter_map(|slot| Some((slot, self.at(slot).filter(there)?.id))).collect()
+    }
+}
+
+/// When reqs are to be looked at again, by slot and id: a slot is used again by others.
+#[derive(Debug, Default)]
+pub struct Wakes(BinaryHeap<Reverse<(Point, usize, u64)>>);
+
+impl Wakes {
+    pub fn push(&mut self, at: Point, slot: usize, id: u64) {
+        self.0.push(Reverse((at, slot, id)));
+    }
+    /// The earliest of those whose req is still there; the others before it are dropped.
+    pub fn first(&mut self, reqs: &Slab<Req>) -> Option<(Point, usize)> {
+        while let Some(&Reverse((at, slot, id))) = self.0.peek() {
+            if reqs.at(slot).is_some_and(|r| r.id == id) {
+                return Some((at, slot));
+            }
+            self.0.pop();
+        }
+        None
+    }
+    pub fn pop(&mut self) {
+        self.0.pop();
     }
 }
 
@@ -403,7 +426,7 @@
     pub(crate) late_share: f64,
     pub(crate) bad_share: f64,
     pub(crate) second_at: Point,
-    pub(crate) wakes: BinaryHeap<Reverse<(Point, usize)>>,
+    pub(crate) wakes: Wakes,
     pub(crate) armed: Option<Point>,
     pub(crate) touched: Vec<usize>,
     pub(crate) dirty: Vec<usize>,
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -110,7 +110,7 @@
             let line = match a {
                 Action::Timer { after, .. } => {
                     self.timers.push(self.now + after.secs().max(0.001));
-                    continue;
+                    "timer".to_string()
                 }
                 Action::Count { name, amount, .. } => {
                     self.calls.push_back(name);
@@ -242,6 +242,8 @@
 #[test_case("few"; "a limit with few samples moves")]
 #[test_case("throttle"; "a throttled plan is no full pool")]
 #[test_case("peers"; "what peers told of a customer counts here")]
+#[test_case("late"; "a waiter that can no longer be in time is not sent")]
+#[test_case("wakes"; "a req that is over wakes nobody")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
