A customer's change of plan is followed

Seen: in a test over sockets one customer came under two plans by mistake, and each req under the second was held for its whole time, then denied.

Excluded: the counter (its stand-in showed no call at all) and the stand-ins' timing.

Faulty: `arrive` in `control.rs` went by the plan of the req, `put_counts` by the plan first seen of the customer: the req waited for a call that was never made. The customer now goes by its latest req's plan.

Guards as well against a plan told wrongly once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -212,7 +212,7 @@
     fn arrive(&mut self, n: NewReq) {
         let c = self.customer(n.customer, n.plan, n.spread.max(1.0));
         let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
-        self.customers[c].spread = n.spread.max(1.0);
+        self.customers[c].follow(n.plan, n.spread.max(1.0), p.burst);
         // A repeat counts from its first try: time left that the client timeout cut tells when that was.
         let most = &mut self.most_left[frontend];
         *most = most.max(n.left.secs());
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -172,6 +172,14 @@
 }
 
 impl Customer {
+    /// What its latest req says of it. With another plan its store starts full, as a new customer's: reqs
+    /// would otherwise wait for calls that the first plan seen does not make.
+    pub fn follow(&mut self, plan: usize, spread: f64, burst: f64) {
+        if self.plan != plan {
+            (self.plan, self.level, self.run) = (plan, burst, burst);
+        }
+        self.spread = spread;
+    }
     /// Dispatches more out or held here, and leases that the counter is to know of.
     pub fn hold(&mut self, more: f64, leased: f64) {
         (self.held, self.leased) = (self.held + more, self.leased + leased);
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -243,6 +243,7 @@
 #[test_case("throttle"; "a throttled plan is no full pool")]
 #[test_case("peers"; "what peers told of a customer counts here")]
 #[test_case("late"; "a waiter that can no longer be in time is not sent")]
+#[test_case("plan"; "a change of plan is followed")]
 #[test_case("wakes"; "a req that is over wakes nobody")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 fn scenario(name: &str) {
