--- a/gateway/src/program/start.rs
+++ b/gateway/src/program/start.rs
@@ -82,13 +82,12 @@
         log::info!("ready");
     });
 
-    let accept = async {
+    let mut accept = Box::pin(async {
         loop {
             let (stream, peer, place) = gate.next(|| clients.make_room()).await;
             clients.serve(stream, peer, place, places.tight());
         }
-    };
-    tokio::pin!(accept);
+    });
     tokio::select! {
         _ = accept.as_mut() => {}
         _ = signals.end() => {}
@@ -98,8 +97,13 @@
     log::info!("ending");
     clients.closing();
     let _ = timeout(STAY, accept.as_mut()).await;
-    // what stands in the accept queue is still taken: a turn without a new one and it is empty
-    while timeout(Duration::from_millis(20), accept.as_mut()).await.is_ok() {}
+    drop(accept);
+    clients.end_all();
+    // a req in the accept queue is taken already, also where the descriptors are used up for the moment
+    while let Some((stream, peer, place)) = gate.queued().await {
+        clients.serve(stream, peer, place, true);
+    }
+    drop(gate);
     clients.end_all();
     clients.all_ended().await;
     exchange.all_answered().await;
--- a/gateway/src/protocol/client.rs
+++ b/gateway/src/protocol/client.rs
@@ -61,6 +61,7 @@
 #[derive(Default)]
 struct Link {
     busy: Cell<bool>,
+    used: Cell<bool>,
     stop: Notify,
     why: Cell<Option<Why>>,
 }
@@ -71,6 +72,15 @@
         self.stop.notify_one();
     }
 
+    /// Until it is to end. One that has brought nothing yet is given time: its first req may be in the machine's
+    /// hands already, and hyper ends such a connection without a look.
+    async fn to_end(&self) {
+        self.stop.notified().await;
+        if !self.used.get() {
+            tokio::time::sleep(UNFINISHED).await;
+        }
+    }
+
     /// Until no req was here for so long at a stretch.
     async fn unused_for(&self, span: Duration) {
         let mut since = Instant::now();
@@ -121,7 +131,8 @@
     pub fn make_room(&self) {
         let links = self.links.borrow();
         let ending = links.values().filter(|l| l.why.get() == Some(Why::Crowded)).count();
-        let idle = links.values().find(|l| !l.busy.get() && l.why.get().is_none());
+        let idle = || links.values().filter(|l| !l.busy.get() && l.why.get().is_none());
+        let idle = idle().find(|l| l.used.get()).or(idle().next());
         idle.filter(|_| ending < MAKING_ROOM).into_iter().for_each(|l| l.end(Why::Crowded));
     }
 
@@ -142,8 +153,9 @@
                 .serve_connection(TokioIo::new(stream), TowerToHyperService::new(reader));
             tokio::pin!(conn);
             let end = tokio::select! {
+                biased;
                 end = conn.as_mut() => end,
-                _ = link.stop.notified() => {
+                _ = link.to_end() => {
                     conn.as_mut().graceful_shutdown();
                     tokio::select! {
                         end = conn.as_mut() => end,
@@ -189,6 +201,7 @@
     }
     fn call(&mut self, req: Request<Incoming>) -> Self::Future {
         self.link.busy.set(true);
+        self.link.used.set(true);
         let busy = Busy(self.link.clone());
         let (clients, last) = (self.clients.clone(), self.last);
         Box::pin(async move {
--- a/gateway/src/transport/listen.rs
+++ b/gateway/src/transport/listen.rs
@@ -1,8 +1,10 @@
 //! The listening socket: each connection accepted takes a place among the descriptors first.
 
 use super::descriptors::{Place, Share};
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -44,4 +46,21 @@
             }
         }
     }
+    /// A connection that stands in the machine's queue; `None` once there is none.
+    pub async fn queued(&self) -> Option<(TcpStream, SocketAddr, Place)> {
+        loop {
+            let Some(place) = self.places.take() else {
+                tokio::time::sleep(Duration::from_millis(2)).await;
+                continue;
+            };
+            let next = poll_fn(|cx| match self.listener.poll_accept(cx) {
+                Poll::Ready(next) => Poll::Ready(Some(next)),
+                Poll::Pending => Poll::Ready(None),
+            });
+            match next.await? {
+                Ok((stream, peer)) if stream.set_nodelay(true).is_ok() => return Some((stream, peer, place)),
+                _ => tokio::time::sleep(Duration::from_millis(2)).await,
+            }
+        }
+    }
 }
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -409,6 +409,32 @@
     assert_eq!((g.count("taken"), all[0] + all[1]), (Some(answers), answers));
 }
 
+/// At SIGTERM with all descriptors in use, what waits to be accepted is answered as well.
+#[test]
+fn sigterm_with_a_full_queue() {
+    let s = srv(ANSWER);
+    let mut g = Gateway::with(&[s.addr], |v| {
+        v["limits"]["sockets"] = json!(48);
+        v["settings"]["familyInfo"]["countWait"] = json!(1.5);
+        v["settings"]["packages"][0]["storeSize"] = json!(1000);
+    });
+    // each req holds its connection until its call to the counter is given up, long after the last is accepted
+    g.counter.now(counter::Manner::Silent);
+    let clients: Vec<_> = (0..60)
+        .map(|_| {
+            let mut c = Client::to(g.addr).unwrap();
+            c.write(req("quote", "free", "5").as_bytes()).unwrap();
+            c
+        })
+        .collect();
+    g.signal("TERM");
+    for mut c in clients {
+        let status = c.answer().expect("not lost").expect("a whole answer").status();
+        assert!([200, 429].contains(&status), "{status}");
+    }
+    assert!(g.child.wait().unwrap().success());
+}
+
 /// A client that has begun a req and never ends it holds nobody up.
 #[test]
 fn sigterm_beside_an_unfinished_req() {
