A counter call that comes while silence is watched for ends in its own time

Seen: the new SIGTERM test took 1.5 s or 6.5 s; in the slow runs one req waited its whole five seconds, and the counters at exit showed three calls without an end.

Excluded: the srvs (all dispatches passed) and the queue (all 60 reqs were taken); the exchange made five calls and was told of two.

Faulty: `due` in `protocol/counter.rs`, since silence is found by the clock: with all calls over it slept until the silence and did not look for a new call, which then ended with the silence, up to eight waits late. The stand-in now answers late calls in their turn, as the counter does, where it had swallowed them.

--- a/example/src/counter.rs
+++ b/example/src/counter.rs
@@ -4,13 +4,14 @@
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
-use std::thread::spawn;
+use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Manner {
     Answer,
     Busy,
+    /// Answers nothing for now: each call has its answer in its turn, however late.
     Silent,
 }
 
@@ -65,10 +66,15 @@
     fn serve(self, stream: TcpStream) -> Option<()> {
         let (mut from, mut to) = (BufReader::new(stream.try_clone().ok()?), stream);
         while let Some(words) = read_call(&mut from).ok()? {
-            match *self.manner.lock().unwrap() {
-                Manner::Answer => to.write_all(self.answer(&words).as_bytes()).ok()?,
-                Manner::Busy => to.write_all(b"-BUSY try later\r\n").ok()?,
-                Manner::Silent => {}
+            let mut manner = *self.manner.lock().unwrap();
+            while manner == Manner::Silent {
+                sleep(Duration::from_millis(5));
+                manner = *self.manner.lock().unwrap();
+            }
+            if manner == Manner::Busy {
+                to.write_all(b"-BUSY try later\r\n").ok()?;
+            } else {
+                to.write_all(self.answer(&words).as_bytes()).ok()?;
             }
         }
         Some(())
--- a/gateway/src/protocol/counter.rs
+++ b/gateway/src/protocol/counter.rs
@@ -168,8 +168,12 @@
         loop {
             let open = lane.calls.borrow().iter().find(|c| !c.over).map(|c| c.until);
             let silent = if silence { self.silent_at(lane) } else { None };
+            // a call that comes meanwhile may be due before a silence is
             match open.into_iter().chain(silent).min() {
-                Some(at) => return tokio::time::sleep_until(at).await,
+                Some(at) => tokio::select! {
+                    _ = tokio::time::sleep_until(at) => return,
+                    _ = lane.woken.notified() => {}
+                },
                 None => lane.woken.notified().await,
             }
         }
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -329,7 +329,8 @@
     for plan in ["team", "free"].into_iter().cycle() {
         let asked = Instant::now();
         let status = g.ask(req("quote", plan, "1").as_bytes()).status();
-        assert!(asked.elapsed() < ms(1050) && (status == 200 || status == 429), "{status}");
+        // the call's time is 80 ms; that of a connection to be taken for dead is 640 ms
+        assert!(asked.elapsed() < ms(350) && (status == 200 || status == 429), "{status}");
         passed += (status == 200) as usize;
         if start.elapsed() > ms(2500) {
             break;
@@ -428,11 +429,12 @@
         })
         .collect();
     g.signal("TERM");
+    let start = Instant::now();
     for mut c in clients {
         let status = c.answer().expect("not lost").expect("a whole answer").status();
         assert!([200, 429].contains(&status), "{status}");
     }
-    assert!(g.child.wait().unwrap().success());
+    assert!(g.child.wait().unwrap().success() && start.elapsed() < ms(4500));
 }
 
 /// A client that has begun a req and never ends it holds nobody up.
