--- a/gateway/src/protocol/client.rs
+++ b/gateway/src/protocol/client.rs
@@ -72,8 +72,8 @@
         self.stop.notify_one();
     }
 
-    /// Until it is to end. One that has brought nothing yet is given time: its first req may be in the machine's
-    /// hands already, and hyper ends such a connection without a look.
+    /// Until it is to end. One that has brought nothing yet is given time: its first req may be in the
+    /// machine's hands already, and hyper ends such a connection without a look.
     async fn to_end(&self) {
         self.stop.notified().await;
         if !self.used.get() {
--- a/gateway/src/protocol/counter.rs
+++ b/gateway/src/protocol/counter.rs
@@ -211,7 +211,7 @@
     }
 
     /// Serves a connection until it ends or, silent for long, is replaced. The silent one is kept until the
-    /// new one is up: a machine that was cut off may go on where it was, or resets it and so tells it is back.
+    /// new one is up: a machine that was cut off may go on where it was, or resets it and tells it is back.
     async fn talk(&self, lane: &Lane, mut from: OwnedReadHalf) -> (Why, Option<TcpStream>) {
         let (mut read, mut part) = (Vec::with_capacity(4096), [0u8; 4096]);
         let mut other = std::pin::pin!(None);
--- a/gateway/src/routing/exchange.rs
+++ b/gateway/src/routing/exchange.rs
@@ -287,8 +287,8 @@
         self.woken.notify_one();
     }
 
-    /// Plays rounds for good. All that one wakeup of the program brought is there when this task has its turn,
-    /// since it was put behind the tasks that were woken with the one that told it.
+    /// Plays rounds for good. All that one wakeup of the program brought is there when this task has its
+    /// turn, since it was put behind the tasks that were woken with the one that told it.
     pub async fn drive(self: Rc<Exchange>) {
         loop {
             match self.timer.get() {
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -419,7 +419,7 @@
         v["settings"]["familyInfo"]["countWait"] = json!(1.5);
         v["settings"]["packages"][0]["storeSize"] = json!(1000);
     });
-    // each req holds its connection until its call to the counter is given up, long after the last is accepted
+    // each req holds its connection until its call is given up, long after the last is accepted
     g.counter.now(counter::Manner::Silent);
     let clients: Vec<_> = (0..60)
         .map(|_| {
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -1,7 +1,8 @@
 //! Plays the scenarios in `tests/scenarios`. A line `@T EVENT ...` plays timers up to T, then the event at T;
 //! `> TEXT` wants an action since that line that begins so, `! TEXT` none, `= N TEXT` just N.
 //! Events: `list KIND srv[,key=value..] ..`, `req ID key=value ..`, `total X` (to the oldest counter call),
-//! `serve ID N passed|full key=value ..` (N reqs one after the other), `silence` / `refuse` (all calls), `peer BYTE,BYTE..`, `passed`/`error`/`full`/`lost`/`reset` ID/NTH key=value .., `wait`.
+//! `serve ID N passed|full key=value ..` (N reqs one after the other), `silence` / `refuse` (all calls),
+//! `peer BYTE,BYTE..`, `passed`/`error`/`full`/`lost`/`reset` ID/NTH key=value .., `wait`.
 
 use lupinledge::control::Control;
 use lupinledge::link::*;
