A req is forgotten only after the round that heard of its end

Seen: reading the order of events within one round: a dispatch fails and its client leaves in the same wakeup. The module decides on a further dispatch before it comes to the leaving, and emits the dispatch with its cancel.

Faulty: `left` and `ended` in `routing/exchange.rs` forgot an answered req at once; `dispatch` then found nothing and gave no end, so that to the module it stayed out for good, with a place of the pool, of the srv and a lease.

Before/after: a test that plays such a round ends with two dispatches and one end / with two ends, one of them not sent. Guards against any end and further dispatch in one round; it can do no harm, as such a req is answered already.

--- a/gateway/src/routing/exchange.rs
+++ b/gateway/src/routing/exchange.rs
@@ -109,6 +109,8 @@
     control: RefCell<Control>,
     events: RefCell<Vec<Event>>,
     open: RefCell<HashMap<u64, Open>>,
+    /// Reqs that may be over; looked at when a round's actions are done.
+    done: RefCell<Vec<u64>>,
     taken: Cell<u64>,
     unanswered: Cell<usize>,
     srvs: RefCell<Vec<Srv>>,
@@ -149,6 +151,7 @@
             terms,
             events: RefCell::default(),
             open: RefCell::default(),
+            done: RefCell::default(),
             taken: Cell::new(0),
             unanswered: Cell::new(0),
             srvs: RefCell::default(),
@@ -197,7 +200,7 @@
             self.counters.left.up();
             self.settled();
             self.tell(Event::Left { id });
-            self.forget(id);
+            self.done.borrow_mut().push(id);
         }
     }
 
@@ -224,11 +227,14 @@
         self.settled();
     }
 
-    /// Drops what is answered and has nothing out any more.
-    fn forget(&self, id: u64) {
+    /// Drops what is answered and has nothing out any more, once the decisions have heard of it: in the round
+    /// that tells them they may still dispatch it, and each dispatch has to be given its end.
+    fn forget_done(&self) {
         let mut open = self.open.borrow_mut();
-        if open.get(&id).is_some_and(|o| o.answer.is_none() && o.tries.iter().all(Option::is_none)) {
-            open.remove(&id);
+        for id in self.done.take() {
+            if open.get(&id).is_some_and(|o| o.answer.is_none() && o.tries.iter().all(Option::is_none)) {
+                open.remove(&id);
+            }
         }
     }
 
@@ -252,7 +258,7 @@
         let took = self.clock.now() - out.sent;
         let end = Ended { id: req, nth, how: back.how, took, closed, billed: back.billed };
         self.tell(Event::Ended(end, Vec::new()));
-        self.forget(req);
+        self.done.borrow_mut().push(req);
     }
 
     pub fn counted(&self, name: u64, total: f64, how: Outcome) {
@@ -320,11 +326,11 @@
                 Action::Dispatch { id, srv, limit } => self.dispatch(now, id, srv, limit),
                 Action::Deny { id, back_off } => {
                     self.answer(id, Answer::Denied(back_off));
-                    self.forget(id);
+                    self.done.borrow_mut().push(id);
                 }
                 Action::Abort { id } => {
                     self.answer(id, Answer::Aborted);
-                    self.forget(id);
+                    self.done.borrow_mut().push(id);
                 }
                 Action::Cancel { id, nth } => self.cancel(id, nth),
                 Action::Count { name, amount, life } => {
@@ -347,6 +353,7 @@
             }
         }
         self.counter_side.borrow().iter().for_each(|c| c.flush());
+        self.forget_done();
     }
 
     fn dispatch(self: &Rc<Exchange>, now: Point, id: u64, srv: u32, limit: Span) {
@@ -382,9 +389,62 @@
         let end = Ended { id, nth, how: Outcome::Cancelled, took, closed, billed: 0.0 };
         log::debug!("cancelled {id}/{nth} at srv {}", out.srv);
         self.tell(Event::Ended(end, Vec::new()));
-        self.forget(id);
+        self.done.borrow_mut().push(id);
     }
 }
 
 /// For the sides, which the exchange owns.
 pub type Meeting = Weak<Exchange>;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A server side that leaves each dispatch open.
+    struct Srvs;
+
+    impl ServerSide for Srvs {
+        fn send(&self, _: Dispatch) -> Stop {
+            Box::new(|| {})
+        }
+        fn close_idle(&self, _: SocketAddr) {}
+    }
+
+    fn play(x: &Rc<Exchange>) {
+        let events = std::mem::take(&mut *x.events.borrow_mut());
+        x.round(x.clock.now(), events);
+    }
+
+    /// A dispatch decided on in the round that also hears of the client's leaving gets its end: else it would
+    /// be out for good in the eyes of the decisions, and its place in the pool with it.
+    #[test]
+    fn left_in_the_round_of_a_further_dispatch() {
+        let v: serde_json::Value =
+            serde_json::from_str(include_str!("../../../example/config.json")).expect("JSON");
+        let terms = lupinledge_terms::terms(1, &v["settings"]).expect("terms");
+        let x = Exchange::new(terms, Clock::start(), Rc::default());
+        x.attach(Rc::new(Srvs), None);
+        let entry = |name: &str| Entry {
+            name: name.to_string(),
+            addr: ([127, 0, 0, 1], 1).into(),
+            row: SrvRow { srv: 0, zone: 0, cell: 0, state: SrvState::Ready, weight: 1.0, born: None },
+        };
+        x.list(ListKind::Full, vec![entry("a"), entry("b")]);
+        let (left, uri) = (Span::from_secs(1.0), Uri::from_static("/quote"));
+        let id = HeaderValue::from_static("1");
+        let new =
+            NewReq { id: 0, frontend: 0, repeat: false, units: 1.0, customer: 1, plan: 2, spread: 1.0, left };
+        let ticket = x.take(new, Carried { method: Method::GET, uri, id, key: None, body: Bytes::new() });
+        play(&x);
+        x.ended(1, 0, Back::bare(Outcome::Error));
+        drop(ticket);
+        play(&x);
+        play(&x);
+        let counters = x.counters.to_string();
+        assert!(
+            counters.contains(" dispatches=2 ") && counters.contains("dispatch.not_sent=1"),
+            "{counters}"
+        );
+        assert!(x.open.borrow().is_empty());
+    }
+}
