Lab: emulated srvs, counter and discovery with scheduled faults, load tool, rule checks

Change: a new crate `lab/` (binary `lupinledge-lab`). Scenarios are TOML (serde) with a fault schedule: srvs slow, failing, silent, reset mid-answer, 1xx in front, spoilt Billed-Units, cold start with a limit, drain; counter BUSY, stall, restart at zero; discovery late or wrong. A deliberately broken gateway is part of the lab.

--- a/example/src/counter.rs
+++ b/example/src/counter.rs
@@ -63,6 +63,10 @@
     pub fn connections(&self) -> usize {
         self.shared.record.lock().unwrap().connections
     }
+    /// Forgets every total, as a fresh counter that has taken the old one's place.
+    pub fn forget(&self) {
+        self.shared.record.lock().unwrap().totals.clear();
+    }
     /// The sum over all names that are not forgotten.
     pub fn sum(&self) -> f64 {
         let now = Instant::now();
--- /dev/null
+++ b/lab/src/arrivals.rs
@@ -0,0 +1,112 @@
+//! Open-loop arrivals, pure and seeded: the same scenario gives the same reqs at the same points.
+
+use crate::scenario::{Scenario, Share};
+use crate::terms::LabTerms;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, WeightedIndex};
+
+/// One req due to be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Due {
+    pub at: f64,
+    pub gateway: u16,
+    pub customer: u32,
+    /// Index in the gateway's classes and plans.
+    pub class: u8,
+    pub plan: u8,
+    /// Client timeout, s.
+    pub timeout: f64,
+    /// Where the client gives up on purpose, s after sending; `None` for a patient one.
+    pub give_up: Option<f64>,
+}
+
+/// The rate at `t`, reqs/s: the scenario's rate times the multiple of the bursts that hold then.
+pub fn rate_at(s: &Scenario, t: f64) -> f64 {
+    s.load.bursts.iter().filter(|b| b.at <= t && t < b.at + b.span).fold(s.load.rate, |r, b| r * b.times)
+}
+
+/// Every req of the run in order of time. Customers keep one plan each and spread over all gateways, as the
+/// front does; an error names a class or plan the gateway's settings lack.
+pub fn arrivals(s: &Scenario, terms: &LabTerms) -> Result<Vec<Due>, String> {
+    let mut rng = StdRng::seed_from_u64(s.seed);
+    let index = |list: &[Share], find: &dyn Fn(&str) -> Option<usize>, field: &str| {
+        let ids =
+            list.iter().map(|c| find(&c.name).ok_or(format!("`{field}`: `{}` not in the settings", c.name)));
+        let ids = ids.collect::<Result<Vec<_>, _>>()?;
+        let pick = WeightedIndex::new(list.iter().map(|c| c.share)).map_err(|e| format!("`{field}`: {e}"))?;
+        Ok::<_, String>((ids, pick))
+    };
+    let (classes, class_pick) = index(&s.load.classes, &|n| terms.class(n), "load.classes")?;
+    let (plans, plan_pick) = index(&s.load.plans, &|n| terms.plan(n), "load.plans")?;
+    let plan_of: Vec<u8> = (0..s.load.customers).map(|_| plans[plan_pick.sample(&mut rng)] as u8).collect();
+    let peak = s.load.bursts.iter().fold(s.load.rate, |r, b| r.max(s.load.rate * b.times));
+    let mut out = Vec::new();
+    if peak <= 0.0 {
+        return Ok(out);
+    }
+    // Thinning: draw at the peak rate, keep each point by the rate that holds there.
+    let gap = Exp::new(peak).map_err(|e| e.to_string())?;
+    let mut t = 0.0;
+    loop {
+        t += gap.sample(&mut rng);
+        if t >= s.duration_s {
+            return Ok(out);
+        }
+        if rng.gen::<f64>() * peak > rate_at(s, t) {
+            continue;
+        }
+        let customer = rng.gen_range(0..s.load.customers);
+        let class = classes[class_pick.sample(&mut rng)];
+        let [lo, hi] = s.load.timeout_share;
+        let timeout = terms.classes[class].deadline * rng.gen_range(lo..=hi);
+        let give_up = (rng.gen::<f64>() < s.load.give_up_early).then(|| timeout * rng.gen_range(0.05..0.9));
+        out.push(Due {
+            at: t,
+            gateway: rng.gen_range(0..s.gateways) as u16,
+            customer,
+            class: class as u8,
+            plan: plan_of[customer as usize],
+            timeout,
+            give_up,
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn scenario(text: &str) -> Scenario {
+        Scenario::parse(&format!("name = \"t\"\n{text}")).expect("a scenario")
+    }
+
+    #[test]
+    fn the_same_seed_gives_the_same_reqs_and_bursts_add_reqs() {
+        let terms = LabTerms::parse(include_str!("../../example/config.json")).unwrap();
+        let calm = scenario("duration_s = 20\ngateways = 3\n[load]\nrate = 100\n");
+        let a = arrivals(&calm, &terms).unwrap();
+        assert_eq!(a, arrivals(&calm, &terms).unwrap());
+        assert!((1800..2200).contains(&a.len()), "{}", a.len());
+        assert!((0..3).all(|g| a.iter().any(|d| d.gateway == g)));
+        let burst =
+            scenario("duration_s = 20\n[load]\nrate = 100\nbursts = [{at = 5, for = 5, times = 3}]\n");
+        let b = arrivals(&burst, &terms).unwrap();
+        let within = b.iter().filter(|d| (5.0..10.0).contains(&d.at)).count();
+        assert!((1300..1700).contains(&within), "{within}");
+        let other = scenario("seed = 2\nduration_s = 20\ngateways = 3\n[load]\nrate = 100\n");
+        assert_ne!(a, arrivals(&other, &terms).unwrap());
+    }
+
+    #[test]
+    fn every_customer_keeps_its_plan() {
+        let terms = LabTerms::parse(include_str!("../../example/config.json")).unwrap();
+        let s = scenario(
+            "[load]\nrate = 200\nplans = [{name = \"free\", share = 1}, {name = \"team\", share = 1}]\n",
+        );
+        let a = arrivals(&s, &terms).unwrap();
+        let mut plans = std::collections::BTreeMap::new();
+        assert!(a.iter().all(|d| *plans.entry(d.customer).or_insert(d.plan) == d.plan));
+        assert!(plans.values().any(|p| *p == 0) && plans.values().any(|p| *p == 1));
+    }
+}
--- /dev/null
+++ b/lab/src/emu/shared.rs
@@ -0,0 +1,73 @@
+//! What all parts of the emulator share in one run: its clock, its schedule and its record of arrivals.
+
+use crate::record::Arrival;
+use crate::scenario::Fault;
+use crate::terms::LabTerms;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// Most arrivals kept a run; beyond it they are counted only (some 100 bytes each: 400 MB at the most).
+pub const MOST_ARRIVALS: usize = 4_000_000;
+
+pub struct Shared {
+    start: Mutex<Instant>,
+    pub faults: Vec<Fault>,
+    pub grace_s: f64,
+    pub terms: LabTerms,
+    over: AtomicBool,
+    arrivals: Mutex<Vec<Arrival>>,
+    dropped: Mutex<usize>,
+    /// Reqs of each customer open at all srvs together.
+    open: Mutex<BTreeMap<u32, usize>>,
+}
+
+impl Shared {
+    pub fn new(faults: Vec<Fault>, grace_s: f64, terms: LabTerms) -> Shared {
+        Shared {
+            start: Mutex::new(Instant::now()),
+            faults,
+            grace_s,
+            terms,
+            over: AtomicBool::new(false),
+            arrivals: Mutex::default(),
+            dropped: Mutex::default(),
+            open: Mutex::default(),
+        }
+    }
+    /// Seconds since the run began.
+    pub fn now(&self) -> f64 {
+        self.start.lock().unwrap().elapsed().as_secs_f64()
+    }
+    /// Begins the run's clock anew: once the gateways are up, the schedule and the load count from here.
+    pub fn begin(&self) -> Instant {
+        let now = Instant::now();
+        *self.start.lock().unwrap() = now;
+        now
+    }
+    pub fn over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+    pub fn end(&self) {
+        self.over.store(true, Ordering::SeqCst)
+    }
+    pub fn arrive(&self, a: Arrival) {
+        let mut all = self.arrivals.lock().unwrap();
+        if all.len() < MOST_ARRIVALS {
+            all.push(a);
+        } else {
+            *self.dropped.lock().unwrap() += 1;
+        }
+    }
+    /// Adds `by` to the customer's open reqs; gives the count after.
+    pub fn open(&self, customer: u32, by: isize) -> usize {
+        let mut open = self.open.lock().unwrap();
+        let n = open.entry(customer).or_default();
+        *n = n.saturating_add_signed(by);
+        *n
+    }
+    pub fn take_arrivals(&self) -> (Vec<Arrival>, usize) {
+        (std::mem::take(&mut *self.arrivals.lock().unwrap()), *self.dropped.lock().unwrap())
+    }
+}
--- /dev/null
+++ b/lab/src/fleet.rs
@@ -0,0 +1,163 @@
+//! The gateways under test: N processes of one build, each with a configuration file of its own made from the
+//! gateway configuration the lab was given, pointed at the emulator.
+
+use crate::emu::world::World;
+use crate::scenario::Scenario;
+use crate::terms::LabTerms;
+use serde_json::json;
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// A build to start: a program and the words before its own.
+#[derive(Clone, Debug)]
+pub struct Build {
+    pub program: PathBuf,
+    pub args: Vec<String>,
+}
+
+impl Build {
+    /// `lupinledge` beside the running program, as cargo lays out a target folder.
+    pub fn beside() -> Build {
+        let me = std::env::current_exe().unwrap_or_default();
+        let mut dir = me.parent().map(PathBuf::from).unwrap_or_default();
+        if dir.ends_with("deps") {
+            dir.pop();
+        }
+        Build { program: dir.join("lupinledge"), args: vec![] }
+    }
+}
+
+/// Lines of each gateway's log kept for a report of why it failed.
+const LOG_LINES: usize = 200;
+/// How long a gateway may take to listen and be ready: a release build takes some 50 ms, a debug one under 1 s.
+const READY_WITHIN: Duration = Duration::from_secs(20);
+
+pub struct Fleet {
+    children: Vec<Child>,
+    pub addrs: Vec<SocketAddr>,
+    files: Vec<PathBuf>,
+    logs: Vec<Arc<Mutex<VecDeque<String>>>>,
+}
+
+impl Fleet {
+    /// Starts `s.gateways` gateways and waits till each answers `GET /_health` with 200. The error names the
+    /// gateway and ends with the last lines of its log.
+    pub fn start(build: &Build, s: &Scenario, terms: &LabTerms, world: &World) -> Result<Fleet, String> {
+        let mut fleet = Fleet { children: vec![], addrs: vec![], files: vec![], logs: vec![] };
+        for i in 0..s.gateways {
+            let mut conf = terms.base.clone();
+            conf["name"] = json!(format!("lab-g{i}"));
+            conf["listen"] = json!("127.0.0.1:0");
+            conf["discovery"] = json!(world.discovery.addr.to_string());
+            conf["counter"] = json!(world.counter.addr.to_string());
+            conf["seed"] =
+                json!(format!("{:016x}", s.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(i as u64)));
+            conf["known"] = serde_json::Value::Null;
+            conf["settings"]["instances"] = json!(s.gateways);
+            let path = std::env::temp_dir().join(format!(
+                "lupinledge-lab-{}-{}-{i}.json",
+                std::process::id(),
+                nonce()
+            ));
+            std::fs::write(&path, conf.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+            fleet.files.push(path.clone());
+            let mut child = Command::new(&build.program)
+                .args(&build.args)
+                .env("EDGE_CONFIG", &path)
+                .stdin(Stdio::null())
+                .stdout(Stdio::null())
+                .stderr(Stdio::piped())
+                .spawn()
+                .map_err(|e| format!("{}: {e}", build.program.display()))?;
+            let log: Arc<Mutex<VecDeque<String>>> = Arc::default();
+            let (to, from) = (log.clone(), child.stderr.take().expect("piped"));
+            spawn(move || {
+                for line in BufReader::new(from).lines().map_while(Result::ok) {
+                    let mut log = to.lock().unwrap();
+                    if log.len() == LOG_LINES {
+                        log.pop_front();
+                    }
+                    log.push_back(line);
+                }
+            });
+            fleet.children.push(child);
+            fleet.logs.push(log);
+        }
+        for i in 0..s.gateways {
+            let addr = fleet.ready(i)?;
+            fleet.addrs.push(addr);
+        }
+        Ok(fleet)
+    }
+
+    fn ready(&mut self, i: usize) -> Result<SocketAddr, String> {
+        let start = Instant::now();
+        let listens = |log: &VecDeque<String>| {
+            log.iter().find_map(|l| l.split("listens on ").nth(1)?.trim().parse().ok())
+        };
+        while start.elapsed() < READY_WITHIN {
+            if let Ok(Some(status)) = self.children[i].try_wait() {
+                return Err(format!("gateway {i} ended with {status}:\n{}", self.log(i)));
+            }
+            let addr: Option<SocketAddr> = listens(&self.logs[i].lock().unwrap());
+            if let Some(addr) = addr.filter(|a| health(*a) == Some(200)) {
+                return Ok(addr);
+            }
+            sleep(Duration::from_millis(20));
+        }
+        Err(format!("gateway {i} not ready within {READY_WITHIN:?}:\n{}", self.log(i)))
+    }
+
+    pub fn log(&self, i: usize) -> String {
+        self.logs[i].lock().unwrap().iter().cloned().collect::<Vec<_>>().join("\n")
+    }
+
+    /// Each gateway's peak resident memory, KiB, from `/proc`; 0 where it can't be read.
+    pub fn peaks(&self) -> Vec<u64> {
+        self.children.iter().map(|c| peak_kib(&format!("/proc/{}/status", c.id()))).collect()
+    }
+
+    /// Whether every gateway still runs: one that ended by itself crashed.
+    pub fn crashed(&mut self) -> Vec<usize> {
+        (0..self.children.len()).filter(|i| matches!(self.children[*i].try_wait(), Ok(Some(_)))).collect()
+    }
+
+    /// Ends the gateways this fleet started and removes their files.
+    pub fn stop(mut self) {
+        for c in &mut self.children {
+            let _ = c.kill();
+            let _ = c.wait();
+        }
+        for f in &self.files {
+            let _ = std::fs::remove_file(f);
+        }
+    }
+}
+
+/// `VmHWM` of a status file of `/proc`, KiB; 0 where there is none.
+pub fn peak_kib(path: &str) -> u64 {
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let line = text.lines().find(|l| l.starts_with("VmHWM:"));
+    line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok()).unwrap_or(0)
+}
+
+fn nonce() -> u64 {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    static N: AtomicU64 = AtomicU64::new(0);
+    N.fetch_add(1, Ordering::Relaxed)
+}
+
+fn health(addr: SocketAddr) -> Option<u16> {
+    let mut s = TcpStream::connect_timeout(&addr, Duration::from_millis(500)).ok()?;
+    s.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
+    s.write_all(b"GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").ok()?;
+    let mut head = [0u8; 12];
+    s.read_exact(&mut head).ok()?;
+    std::str::from_utf8(&head[9..12]).ok()?.parse().ok()
+}
--- /dev/null
+++ b/lab/src/lib.rs
@@ -0,0 +1,13 @@
+pub mod arrivals;
+pub mod broken;
+pub mod emu;
+pub mod fleet;
+pub mod load;
+pub mod plot;
+pub mod record;
+pub mod report;
+pub mod rules;
+pub mod run;
+pub mod scenario;
+pub mod schedule;
+pub mod terms;
--- /dev/null
+++ b/lab/src/record.rs
@@ -0,0 +1,99 @@
+//! What a run saw, from both ends: each req as its client saw it, and each arrival at a srv as the srv saw it.
+//!
+//! Times are seconds from the start of the run.
+
+/// How a req ended for its client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum End {
+    /// 200 with the body a srv made for this req.
+    Passed,
+    /// 429 or 503: refused, harmless to try again.
+    Denied,
+    /// Any other status.
+    Failed,
+    /// The gateway ended the connection without a whole answer.
+    NoAnswer,
+    /// Nothing came before the client timeout (and the 50 ms the bench adds).
+    Late,
+    /// The client gave up early on purpose; no rule is asked of the gateway for it.
+    GaveUp,
+    /// A 200 whose body no srv made for this req: a stray answer, or one sent after.
+    Foreign,
+}
+
+impl End {
+    pub const ALL: [End; 7] =
+        [End::Passed, End::Denied, End::Failed, End::NoAnswer, End::Late, End::GaveUp, End::Foreign];
+    pub fn label(self) -> &'static str {
+        match self {
+            End::Passed => "passed",
+            End::Denied => "denied",
+            End::Failed => "failed",
+            End::NoAnswer => "no answer",
+            End::Late => "late",
+            End::GaveUp => "gave up",
+            End::Foreign => "foreign",
+        }
+    }
+}
+
+/// One req as its client saw it.
+#[derive(Clone, Debug)]
+pub struct Req {
+    pub id: u64,
+    pub gateway: u16,
+    pub customer: u32,
+    pub class: u8,
+    pub plan: u8,
+    /// When it was due by the arrivals; `sent` minus this is the tool's own lag.
+    pub due: f64,
+    pub sent: f64,
+    /// The client timeout, s from `sent`.
+    pub timeout: f64,
+    pub end: End,
+    /// When its answer's last byte came (or the client stopped waiting).
+    pub ended: f64,
+    /// A client's repeat of a denied req.
+    pub again: bool,
+}
+
+impl Req {
+    pub fn latency(&self) -> f64 {
+        self.ended - self.sent
+    }
+}
+
+/// One req that reached a srv whole.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub srv: u16,
+    pub at: f64,
+    /// The `X-Request-Id`, as the number its 16 hex digits give; 0 where none could be read.
+    pub id: u64,
+    pub class: u8,
+    pub customer: u32,
+    /// Whether it began to run (rather than being turned away unrun).
+    pub ran: bool,
+    /// A by-key req whose key had run already: answered from memory, not run again.
+    pub repeat_of_key: bool,
+    /// Reqs running on this srv when it came, and what the srv could take then.
+    pub running: usize,
+    pub limit: usize,
+    /// Whether the srv was cold (within a `cold` window) when it came.
+    pub cold: bool,
+    /// Seconds since discovery told that this srv is leaving; negative or NaN where it was not.
+    pub since_drain: f64,
+    /// The customer's reqs open at all srvs together when it came, this one included.
+    pub customer_open: usize,
+}
+
+/// All of a run.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    pub reqs: Vec<Req>,
+    pub arrivals: Vec<Arrival>,
+    /// Peak resident memory of each gateway at the end, KiB (`VmHWM`), where it could be read.
+    pub gateway_peak_kib: Vec<u64>,
+    /// Peak resident memory of the lab itself, KiB.
+    pub lab_peak_kib: u64,
+}
--- /dev/null
+++ b/lab/src/rules.rs
@@ -0,0 +1,196 @@
+//! The five rules, checked from the emulator's own view of a run: no word of the gateway is taken for them.
+//!
+//! Pure: a record and the terms in, a verdict out.
+
+use crate::record::{End, Record};
+use crate::terms::{Effect, LabTerms};
+use std::collections::BTreeMap;
+
+/// The bench adds this much to every time limit on sockets, s.
+pub const SLACK_S: f64 = 0.05;
+
+/// One of the five rules, as the protocol page numbers them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    OneFinalAnswer,
+    NoEffectTwice,
+    NothingToGoneSrv,
+    ColdNeverPushedOver,
+    CeilingsAcrossGateways,
+}
+
+impl Rule {
+    pub const ALL: [Rule; 5] = [
+        Rule::OneFinalAnswer,
+        Rule::NoEffectTwice,
+        Rule::NothingToGoneSrv,
+        Rule::ColdNeverPushedOver,
+        Rule::CeilingsAcrossGateways,
+    ];
+    pub fn label(self) -> &'static str {
+        match self {
+            Rule::OneFinalAnswer => "1 one final answer",
+            Rule::NoEffectTwice => "2 no effect twice",
+            Rule::NothingToGoneSrv => "3 nothing to a gone srv past grace",
+            Rule::ColdNeverPushedOver => "4 cold srv never pushed over",
+            Rule::CeilingsAcrossGateways => "5 ceilings across gateways",
+        }
+    }
+}
+
+/// A rule's count of breaks and the first few, told in words.
+#[derive(Clone, Debug, Default)]
+pub struct Breaks {
+    pub count: usize,
+    pub examples: Vec<String>,
+}
+
+/// How many examples a rule keeps: enough to start a search, few enough for a table.
+const EXAMPLES: usize = 3;
+
+impl Breaks {
+    fn add(&mut self, what: impl FnOnce() -> String) {
+        self.count += 1;
+        if self.examples.len() < EXAMPLES {
+            self.examples.push(what());
+        }
+    }
+}
+
+/// Every rule with its breaks, in the order of `Rule::ALL`.
+pub type Verdict = BTreeMap<Rule, Breaks>;
+
+/// Checks the five rules; `grace_s` is the scenario's drain grace.
+pub fn check(record: &Record, terms: &LabTerms, grace_s: f64) -> Verdict {
+    let mut v: Verdict = Rule::ALL.iter().map(|r| (*r, Breaks::default())).collect();
+    let one = v.get_mut(&Rule::OneFinalAnswer).expect("all rules");
+    for r in &record.reqs {
+        match r.end {
+            End::NoAnswer => one.add(|| format!("req {:016x}: connection ended without an answer", r.id)),
+            End::Late => one.add(|| format!("req {:016x}: no answer within {:.3} s", r.id, r.timeout)),
+            End::Foreign => one.add(|| format!("req {:016x}: answered with what no srv made for it", r.id)),
+            _ => {}
+        }
+    }
+    // Runs of each non-replayable req: a uniqued one is safe again only under its key, which the srv remembers.
+    let mut runs: BTreeMap<u64, usize> = BTreeMap::new();
+    for a in record.arrivals.iter().filter(|a| a.ran && !a.repeat_of_key) {
+        if terms.classes.get(a.class as usize).is_some_and(|c| c.effect == Effect::Once) {
+            *runs.entry(a.id).or_default() += 1;
+        }
+    }
+    let twice = v.get_mut(&Rule::NoEffectTwice).expect("all rules");
+    for (id, n) in runs.iter().filter(|(_, n)| **n > 1) {
+        twice.add(|| format!("req {id:016x} ran {n} times"));
+    }
+    let gone = v.get_mut(&Rule::NothingToGoneSrv).expect("all rules");
+    for a in record.arrivals.iter().filter(|a| a.since_drain > grace_s + SLACK_S) {
+        gone.add(|| {
+            format!("srv {} got req {:016x} {:.3} s after its drain was told", a.srv, a.id, a.since_drain)
+        });
+    }
+    let cold = v.get_mut(&Rule::ColdNeverPushedOver).expect("all rules");
+    for a in record.arrivals.iter().filter(|a| a.cold && a.running >= a.limit) {
+        cold.add(|| {
+            format!("cold srv {} at {:.2} s: {} running, takes {}", a.srv, a.at, a.running + 1, a.limit)
+        });
+    }
+    let ceilings = v.get_mut(&Rule::CeilingsAcrossGateways).expect("all rules");
+    let plans = customer_plans(record);
+    for a in &record.arrivals {
+        let at_once =
+            plans.get(&a.customer).and_then(|p| terms.plans.get(*p as usize)).map_or(0, |p| p.at_once);
+        if at_once > 0 && a.customer_open > at_once {
+            ceilings.add(|| {
+                format!("customer {} had {} open at srvs, its plan {}", a.customer, a.customer_open, at_once)
+            });
+        }
+    }
+    v
+}
+
+fn customer_plans(record: &Record) -> BTreeMap<u32, u8> {
+    record.reqs.iter().map(|r| (r.customer, r.plan)).collect()
+}
+
+/// Whether no rule broke.
+pub fn kept(v: &Verdict) -> bool {
+    v.values().all(|b| b.count == 0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::record::{Arrival, Req};
+
+    fn terms() -> LabTerms {
+        LabTerms::parse(include_str!("../../example/config.json")).expect("the example")
+    }
+    fn arrival(id: u64, class: u8) -> Arrival {
+        Arrival {
+            srv: 0,
+            at: 1.0,
+            id,
+            class,
+            customer: 1,
+            ran: true,
+            repeat_of_key: false,
+            running: 0,
+            limit: 4,
+            cold: false,
+            since_drain: f64::NAN,
+            customer_open: 1,
+        }
+    }
+    fn req(end: End) -> Req {
+        Req {
+            id: 9,
+            gateway: 0,
+            customer: 1,
+            class: 0,
+            plan: 1,
+            due: 0.0,
+            sent: 0.0,
+            timeout: 1.0,
+            end,
+            ended: 0.5,
+            again: false,
+        }
+    }
+
+    #[test]
+    fn each_rule_is_found_by_its_own_break() {
+        let t = terms();
+        let notice = t.classes.iter().position(|c| c.effect == Effect::Once).unwrap() as u8;
+        let mut r =
+            Record { reqs: vec![req(End::Passed)], arrivals: vec![arrival(5, notice)], ..Record::default() };
+        assert!(kept(&check(&r, &t, 1.0)));
+        r.arrivals.push(arrival(5, notice));
+        r.arrivals.push(Arrival { since_drain: 1.2, ..arrival(6, 0) });
+        r.arrivals.push(Arrival { cold: true, running: 4, ..arrival(7, 0) });
+        r.arrivals.push(Arrival { customer_open: 3, ..arrival(8, 0) });
+        r.reqs.push(req(End::Late));
+        let v = check(&r, &t, 1.0);
+        assert!(Rule::ALL.iter().all(|rule| v[rule].count == 1), "{v:?}");
+    }
+
+    #[test]
+    fn what_the_rules_allow_is_not_a_break() {
+        let t = terms();
+        let order = t.classes.iter().position(|c| c.effect == Effect::ByKey).unwrap() as u8;
+        let r = Record {
+            reqs: vec![req(End::GaveUp), req(End::Denied)],
+            arrivals: vec![
+                arrival(5, 0),
+                arrival(5, 0),
+                arrival(6, order),
+                Arrival { repeat_of_key: true, ..arrival(6, order) },
+                Arrival { since_drain: 1.04, ..arrival(7, 0) },
+                Arrival { cold: true, running: 3, ..arrival(8, 0) },
+                Arrival { customer_open: 2, ..arrival(9, 0) },
+            ],
+            ..Record::default()
+        };
+        assert!(kept(&check(&r, &t, 1.0)));
+    }
+}
--- /dev/null
+++ b/lab/src/schedule.rs
@@ -0,0 +1,77 @@
+//! The fault schedule as a pure function of time: which fault holds for a target at a point of the run.
+
+use crate::scenario::{Fault, Target, What};
+
+/// The fault that holds for `target` at `t`, s; of overlapping ones the one that began last.
+pub fn active(faults: &[Fault], target: Target, t: f64) -> Option<&Fault> {
+    faults
+        .iter()
+        .filter(|f| f.target().ok() == Some(target) && f.at <= t && t < f.end())
+        .max_by(|a, b| a.at.total_cmp(&b.at))
+}
+
+/// What a srv can run at once at `t`, given its warm `capacity`: a cold start climbs linearly from `cold_from`
+/// of it to all of it over the window, and never below one.
+pub fn limit(faults: &[Fault], srv: usize, capacity: usize, t: f64) -> (usize, bool) {
+    match active(faults, Target::Srv(srv), t) {
+        Some(f @ Fault { what: What::Cold { cold_from }, .. }) => {
+            let part = cold_from + (1.0 - cold_from) * ((t - f.at) / f.span.max(1e-9)).clamp(0.0, 1.0);
+            (((capacity as f64) * part).floor().max(1.0) as usize, true)
+        }
+        _ => (capacity, false),
+    }
+}
+
+/// When discovery was told that `srv` leaves, where it was by `t`: the start of its last drain window begun by then.
+pub fn drain_told(faults: &[Fault], srv: usize, t: f64) -> Option<f64> {
+    faults
+        .iter()
+        .filter(|f| f.what == What::Drain && f.target().ok() == Some(Target::Srv(srv)) && f.at <= t)
+        .map(|f| f.at)
+        .max_by(f64::total_cmp)
+}
+
+/// The points of the run at which the emulator has something to change, sorted: each fault's start and end.
+pub fn moments(faults: &[Fault]) -> Vec<(f64, usize, bool)> {
+    let mut m: Vec<(f64, usize, bool)> =
+        faults.iter().enumerate().flat_map(|(i, f)| [(f.at, i, true), (f.end(), i, false)]).collect();
+    m.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
+    m
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fault(at: f64, span: f64, target: &str, what: What) -> Fault {
+        Fault { at, span, target: target.into(), what }
+    }
+
+    #[test]
+    fn a_cold_srv_climbs_to_its_capacity() {
+        let f = [fault(2.0, 10.0, "srv:1", What::Cold { cold_from: 0.3 })];
+        assert_eq!(limit(&f, 1, 10, 1.0), (10, false));
+        assert_eq!(limit(&f, 1, 10, 2.0), (3, true));
+        assert_eq!(limit(&f, 1, 10, 7.0), (6, true));
+        assert_eq!(limit(&f, 0, 10, 7.0), (10, false));
+        assert_eq!(limit(&f, 1, 10, 12.0), (10, false));
+        assert_eq!(limit(&f, 1, 2, 2.0), (1, true));
+    }
+
+    #[test]
+    fn the_later_of_two_faults_holds_and_drains_are_remembered() {
+        let f = [
+            fault(1.0, 5.0, "srv:0", What::Failing),
+            fault(2.0, 1.0, "srv:0", What::Silent),
+            fault(3.0, 1.0, "srv:0", What::Drain),
+        ];
+        assert_eq!(active(&f, Target::Srv(0), 2.5).map(|f| f.what), Some(What::Silent));
+        assert_eq!(active(&f, Target::Srv(0), 4.5).map(|f| f.what), Some(What::Failing));
+        assert_eq!(active(&f, Target::Counter, 2.5).map(|f| f.what), None);
+        assert_eq!(drain_told(&f, 0, 2.9), None);
+        assert_eq!(drain_told(&f, 0, 9.0), Some(3.0));
+        let m = moments(&f);
+        assert_eq!(m.first(), Some(&(1.0, 0, true)));
+        assert_eq!(m.last(), Some(&(6.0, 0, false)));
+    }
+}
