--- a/lab/src/emu/shared.rs
+++ b/lab/src/emu/shared.rs
@@ -19,8 +19,8 @@
     over: AtomicBool,
     arrivals: Mutex<Vec<Arrival>>,
     dropped: Mutex<usize>,
-    /// Reqs of each customer open at all srvs together.
-    open: Mutex<BTreeMap<u32, usize>>,
+    /// Reqs of each customer open at all srvs together, as (srv, req id).
+    open: Mutex<BTreeMap<u32, Vec<(u16, u64)>>>,
 }
 
 impl Shared {
@@ -60,12 +60,20 @@
             *self.dropped.lock().unwrap() += 1;
         }
     }
-    /// Adds `by` to the customer's open reqs; gives the count after.
-    pub fn open(&self, customer: u32, by: isize) -> usize {
+    /// Notes a req of the customer open at a srv; gives all of the customer's open ones, this one included.
+    pub fn open(&self, customer: u32, srv: u16, id: u64) -> Vec<(u16, u64)> {
         let mut open = self.open.lock().unwrap();
-        let n = open.entry(customer).or_default();
-        *n = n.saturating_add_signed(by);
-        *n
+        let all = open.entry(customer).or_default();
+        all.push((srv, id));
+        all.clone()
+    }
+    /// Notes that one is no longer open.
+    pub fn shut(&self, customer: u32, srv: u16, id: u64) {
+        let mut open = self.open.lock().unwrap();
+        let all = open.entry(customer).or_default();
+        if let Some(i) = all.iter().position(|o| *o == (srv, id)) {
+            all.swap_remove(i);
+        }
     }
     pub fn take_arrivals(&self) -> (Vec<Arrival>, usize) {
         (std::mem::take(&mut *self.arrivals.lock().unwrap()), *self.dropped.lock().unwrap())
--- a/lab/src/emu/srv.rs
+++ b/lab/src/emu/srv.rs
@@ -115,11 +115,12 @@
         let running = self.running.load(Ordering::SeqCst);
         let past_grace = since_drain > sh.grace_s;
         let ran = running < limit && !past_grace && !repeat_of_key;
-        let open = sh.open(customer, 1);
+        let id = id_of(req);
+        let open = sh.open(customer, self.n as u16, id);
         sh.arrive(Arrival {
             srv: self.n as u16,
             at: t,
-            id: id_of(req),
+            id,
             class: class_of(req, sh),
             customer,
             ran,
@@ -132,7 +133,7 @@
         });
         let body = format!("made for {}\n", req.header("x-request-id").unwrap_or("nobody"));
         if repeat_of_key || !ran {
-            sh.open(customer, -1);
+            sh.shut(customer, self.n as u16, id);
             let (status, headers) = if ran || repeat_of_key {
                 ("200 OK", "")
             } else {
@@ -144,7 +145,7 @@
             self.keys.lock().unwrap().insert(k);
         }
         self.running.fetch_add(1, Ordering::SeqCst);
-        let out = Out { srv: self, customer, open: std::cell::Cell::new(true) };
+        let out = Out { srv: self, customer, id, open: std::cell::Cell::new(true) };
         let fault = schedule::active(&sh.faults, Target::Srv(self.n), t).map(|f| f.what);
         self.play(fault, to, from, &body, &out)
     }
@@ -228,6 +229,7 @@
 struct Out<'a> {
     srv: &'a Inner,
     customer: u32,
+    id: u64,
     open: std::cell::Cell<bool>,
 }
 
@@ -235,7 +237,7 @@
     fn close(&self) {
         if self.open.replace(false) {
             self.srv.running.fetch_sub(1, Ordering::SeqCst);
-            self.srv.shared.open(self.customer, -1);
+            self.srv.shared.shut(self.customer, self.srv.n as u16, self.id);
         }
     }
 }
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -129,7 +129,12 @@
     }
 
     /// Ends the gateways this fleet started and removes their files.
-    pub fn stop(mut self) {
+    pub fn stop(self) {}
+}
+
+/// Guards against gateways left running when a run fails or a test panics half way: each is ended by its id.
+impl Drop for Fleet {
+    fn drop(&mut self) {
         for c in &mut self.children {
             let _ = c.kill();
             let _ = c.wait();
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod fleet;
 pub mod load;
 pub mod plot;
+pub mod quota;
 pub mod record;
 pub mod report;
 pub mod rules;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -155,6 +155,9 @@
                 rows.push((x, run::run(&one, &b)?));
             }
             let dir = out(&common, &format!("{}-sweep", s.name));
+            for (x, sum) in &rows {
+                run::write(sum, &dir.join(format!("x{x}")))?;
+            }
             std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
             let table = report::sweep(&rows);
             std::fs::write(dir.join("sweep.md"), format!("{table}\n![sweep](sweep.svg)\n"))
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -83,8 +83,8 @@
     pub cold: bool,
     /// Seconds since discovery told that this srv is leaving; negative or NaN where it was not.
     pub since_drain: f64,
-    /// The customer's reqs open at all srvs together when it came, this one included.
-    pub customer_open: usize,
+    /// The customer's reqs open at all srvs together when it came, this one included, as (srv, req id).
+    pub customer_open: Vec<(u16, u64)>,
 }
 
 /// All of a run.
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -48,10 +48,20 @@
     pub lab_peak_kib: u64,
     pub crashed: Vec<usize>,
     pub dropped_arrivals: usize,
+    /// Quotas: the worst use over the allowance in one customer's window (0.05 is 5% over), the windows more than
+    /// `QUOTA_BOUND` over, all rated windows, and denials of customers below `ROOM` of theirs.
+    pub quota_over: f64,
+    pub quota_windows_over: usize,
+    pub quota_windows: usize,
+    pub denied_with_room: usize,
     /// Fault windows: start, end, label.
     pub faults: Vec<(f64, f64, String)>,
 }
 
+/// The error issue 16 states before any test: no customer over 5% above quota in a window, none denied below 95%.
+pub const QUOTA_BOUND: f64 = 0.05;
+pub const ROOM: f64 = 0.95;
+
 /// Latencies are kept in microseconds up to a minute, three significant figures.
 fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 60_000_000, 3).expect("fixed bounds")
@@ -111,7 +121,13 @@
             })
             .collect();
         let passed = counts[&End::Passed];
+        let windows = crate::quota::windows(record, terms, s.quota_window_s, ROOM);
+        let (quota_over, quota_windows_over) = crate::quota::worst(&windows, QUOTA_BOUND);
         Summary {
+            quota_over,
+            quota_windows_over,
+            quota_windows: windows.len(),
+            denied_with_room: windows.iter().map(|w| w.denied_with_room).sum(),
             name: s.name.clone(),
             seed: s.seed,
             gateways: s.gateways,
@@ -165,6 +181,9 @@
         ];
         f.extend(End::ALL.iter().map(|e| (e.label(), self.counts[e] as f64)));
         f.extend(Rule::ALL.iter().map(|r| (r.label(), self.verdict[r].count as f64)));
+        f.push(("quota: worst share over", self.quota_over));
+        f.push(("quota: windows over 5%", self.quota_windows_over as f64));
+        f.push(("quota: denied with room", self.denied_with_room as f64));
         f.push(("gateway peak MiB", self.gateway_peak_kib as f64 / 1024.0));
         f
     }
@@ -254,7 +273,10 @@
 
 /// A sweep: one row a load multiple.
 pub fn sweep(rows: &[(f64, Summary)]) -> String {
-    let mut m = String::from("| load | reqs | goodput /s | missed targets | p99 ms | rules |\n| --- | --- | --- | --- | --- | --- |\n");
+    let mut m = String::from(
+        "| load | reqs | goodput /s | missed targets | p99 ms | rules | gateway peak MiB | lab peak MiB | tool lag p99 ms |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+    );
     for (x, s) in rows {
         let rules = if s.kept() {
             "kept".to_string()
@@ -263,11 +285,14 @@
         };
         let _ = writeln!(
             m,
-            "| {x}x | {} | {} | {} | {} | {rules} |",
+            "| {x}x | {} | {} | {} | {} | {rules} | {} | {} | {} |",
             s.reqs,
             round(s.goodput),
             round(s.missed_share()),
-            round(s.p99_ms)
+            round(s.p99_ms),
+            round(s.gateway_peak_kib as f64 / 1024.0),
+            round(s.lab_peak_kib as f64 / 1024.0),
+            round(s.lag_p99_ms)
         );
     }
     m
--- a/lab/src/rules.rs
+++ b/lab/src/rules.rs
@@ -100,9 +100,16 @@
     for a in &record.arrivals {
         let at_once =
             plans.get(&a.customer).and_then(|p| terms.plans.get(*p as usize)).map_or(0, |p| p.at_once);
-        if at_once > 0 && a.customer_open > at_once {
+        if at_once > 0 && a.customer_open.len() > at_once {
             ceilings.add(|| {
-                format!("customer {} had {} open at srvs, its plan {}", a.customer, a.customer_open, at_once)
+                let open: Vec<String> =
+                    a.customer_open.iter().map(|(s, i)| format!("{i:x}@srv{s}")).collect();
+                format!(
+                    "customer {} at {:.2} s had {} open, its plan {at_once}",
+                    a.customer,
+                    a.at,
+                    open.join(" ")
+                )
             });
         }
     }
@@ -139,7 +146,7 @@
             limit: 4,
             cold: false,
             since_drain: f64::NAN,
-            customer_open: 1,
+            customer_open: vec![(0, id)],
         }
     }
     fn req(end: End) -> Req {
@@ -168,7 +175,7 @@
         r.arrivals.push(arrival(5, notice));
         r.arrivals.push(Arrival { since_drain: 1.2, ..arrival(6, 0) });
         r.arrivals.push(Arrival { cold: true, running: 4, ..arrival(7, 0) });
-        r.arrivals.push(Arrival { customer_open: 3, ..arrival(8, 0) });
+        r.arrivals.push(Arrival { customer_open: vec![(0, 1), (0, 2), (1, 3)], ..arrival(8, 0) });
         r.reqs.push(req(End::Late));
         let v = check(&r, &t, 1.0);
         assert!(Rule::ALL.iter().all(|rule| v[rule].count == 1), "{v:?}");
@@ -187,7 +194,7 @@
                 Arrival { repeat_of_key: true, ..arrival(6, order) },
                 Arrival { since_drain: 1.04, ..arrival(7, 0) },
                 Arrival { cold: true, running: 3, ..arrival(8, 0) },
-                Arrival { customer_open: 2, ..arrival(9, 0) },
+                Arrival { customer_open: vec![(0, 1), (0, 2)], ..arrival(9, 0) },
             ],
             ..Record::default()
         };
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -29,6 +29,9 @@
     /// Time a drained srv may still be sent to after discovery has told of it, s (the bench's drain grace).
     #[serde(default = "default_grace")]
     pub grace_s: f64,
+    /// Span over which each customer's use is set against its quota, s (issue 16 states its bound per minute).
+    #[serde(default = "default_quota_window")]
+    pub quota_window_s: f64,
 }
 
 /// The open-loop arrivals.
@@ -244,6 +247,7 @@
         span(self.gateways as f64, 1.0, MOST_GATEWAYS as f64, "gateways")?;
         span(self.bucket_s, 0.05, 60.0, "bucket_s")?;
         span(self.grace_s, 0.0, 10.0, "grace_s")?;
+        span(self.quota_window_s, 1.0, 3600.0, "quota_window_s")?;
         let l = &self.load;
         span(l.rate, 0.0, MOST_RATE, "load.rate")?;
         span(l.customers as f64, 1.0, MOST_CUSTOMERS as f64, "load.customers")?;
@@ -326,6 +330,9 @@
 fn default_grace() -> f64 {
     1.0
 }
+fn default_quota_window() -> f64 {
+    60.0
+}
 fn default_rate() -> f64 {
     50.0
 }
--- a/lab/src/terms.rs
+++ b/lab/src/terms.rs
@@ -27,6 +27,17 @@
     pub name: String,
     /// Most reqs of one customer open at once over all gateways; 0 for none.
     pub at_once: usize,
+    /// The quota's store: it fills at `units_per_s` up to `store_size` units; 0 for a plan without a rate.
+    pub units_per_s: f64,
+    pub store_size: f64,
+}
+
+impl Plan {
+    /// Most units a customer may use in any span of `span_s` seconds: a full store and what fills meanwhile.
+    /// `None` for a plan without a rate.
+    pub fn allowed(&self, span_s: f64) -> Option<f64> {
+        (self.units_per_s > 0.0).then_some(self.store_size + self.units_per_s * span_s)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -51,6 +62,8 @@
 struct WirePlan {
     name: String,
     at_once: f64,
+    units_per_s: f64,
+    store_size: f64,
 }
 
 impl LabTerms {
@@ -74,7 +87,15 @@
                 Ok(Class { name: c.name, effect, slo: c.slo, deadline: c.deadline })
             })
             .collect::<Result<_, String>>()?;
-        let plans = plans.into_iter().map(|p| Plan { name: p.name, at_once: p.at_once as usize }).collect();
+        let plans = plans
+            .into_iter()
+            .map(|p| Plan {
+                name: p.name,
+                at_once: p.at_once as usize,
+                units_per_s: p.units_per_s,
+                store_size: p.store_size,
+            })
+            .collect();
         Ok(LabTerms { classes, plans, base })
     }
 
