--- a/lab/src/emu/world.rs
+++ b/lab/src/emu/world.rs
@@ -18,6 +18,8 @@
     pub shared: Arc<Shared>,
     pub discovery: Arc<Discovery>,
     pub counter: Arc<Counter>,
+    /// The counter as the far half of the gateways reach it: the same totals, except while split.
+    pub counter_far: SocketAddr,
     pub srvs: Vec<Srv>,
     player: Option<JoinHandle<()>>,
 }
@@ -40,7 +42,9 @@
     pub fn start(s: &Scenario, terms: &LabTerms) -> std::io::Result<World> {
         let shared = Arc::new(Shared::new(s.faults.clone(), s.grace_s, terms.clone()));
         let discovery = Arc::new(Discovery::start("127.0.0.1:0")?);
-        let counter = Arc::new(Counter::start("127.0.0.1:0", Manner::Answer)?);
+        let mut counter = Counter::start("127.0.0.1:0", Manner::Answer)?;
+        let counter_far = counter.far_door()?;
+        let counter = Arc::new(counter);
         let groups = s.srv_groups();
         let srvs = groups
             .iter()
@@ -48,7 +52,7 @@
             .map(|(n, g)| Srv::start(n, &g.zone, g.latency_ms, g.capacity, shared.clone()))
             .collect::<std::io::Result<Vec<_>>>()?;
         discovery.put(srvs.iter().map(|s| row(s, "active", 0)).collect());
-        Ok(World { shared, discovery, counter, srvs, player: None })
+        Ok(World { shared, discovery, counter, counter_far, srvs, player: None })
     }
 
     /// Plays the schedule from now on, on a thread of its own, until the run ends.
@@ -81,6 +85,7 @@
                     (_, What::Stall, true) => counter.now(Manner::Silent),
                     (_, What::Busy | What::Stall, false) => counter.now(Manner::Answer),
                     (_, What::RestartAtZero, true) => counter.forget(),
+                    (_, What::Split, b) => counter.split(b),
                     (_, What::Late, b) => discovery.mute(b),
                     (_, What::Wrong { srv: n }, true) => {
                         let s = srv(n);
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -55,7 +55,10 @@
             conf["name"] = json!(format!("lab-g{i}"));
             conf["listen"] = json!("127.0.0.1:0");
             conf["discovery"] = json!(world.discovery.addr.to_string());
-            conf["counter"] = json!(world.counter.addr.to_string());
+            // The second half of the gateways reach the counter by its far door: one side of a split.
+            let counter =
+                if 2 * i >= s.gateways && s.gateways > 1 { world.counter_far } else { world.counter.addr };
+            conf["counter"] = json!(counter.to_string());
             conf["seed"] =
                 json!(format!("{:016x}", s.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(i as u64)));
             conf["known"] = serde_json::Value::Null;
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -136,6 +136,9 @@
     Stall,
     /// Counter: all totals forgotten at `at`, as a fresh counter starts.
     RestartAtZero,
+    /// Counter: the second half of the gateways reach another side that goes on from the totals at `at` on its
+    /// own; at the end the sides heal and the far side's adds are added to the near side's totals.
+    Split,
     /// Discovery: watches get nothing during the window, then all they missed.
     Late,
     /// Discovery: the srv `srv` is told at an address where nothing listens, during the window.
@@ -159,7 +162,7 @@
         )
     }
     pub fn on_counter(&self) -> bool {
-        matches!(self, What::Busy | What::Stall | What::RestartAtZero)
+        matches!(self, What::Busy | What::Stall | What::RestartAtZero | What::Split)
     }
     /// Short name for tables and plots.
     pub fn label(&self) -> &'static str {
@@ -176,6 +179,7 @@
             Busy => "counter BUSY",
             Stall => "counter stall",
             RestartAtZero => "counter restart at zero",
+            Split => "counter split",
             Late => "discovery late",
             Wrong { .. } => "discovery wrong",
         }
--- /dev/null
+++ b/recovery/src/epoch.rs
@@ -0,0 +1,107 @@
+//! A counter that restarted at zero, seen from one name: its total falls below what this gateway alone has added
+//! to the name within the name's life. The gateway then adds back what it holds itself, once for that restart.
+//! Each gateway adds back only its own part, so the parts are not counted twice.
+
+use lupinledge::time::{Point, Span};
+use std::collections::VecDeque;
+
+/// Totals are exact to seven digits (the counter keeps `f32`-like precision): a shortfall smaller than this share
+/// of what is held, plus a thousandth of a unit, is rounding, not a restart.
+const ROUNDING: f64 = 1e-6;
+/// Most own adds remembered for one name; older ones are folded into one. Bounds memory per name.
+const MOST_ADDS: usize = 64;
+
+/// What one answer of the counter says about this name.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Seen {
+    /// The total holds at least what this gateway put there.
+    Whole,
+    /// The counter lost this gateway's part: add `add_back` units once, in a call of its own.
+    Restarted { add_back: f64 },
+}
+
+/// One name's own adds within its life.
+#[derive(Clone, Debug)]
+pub struct Epoch {
+    /// Each add: when it was answered and the amount (negative for a lease given back).
+    adds: VecDeque<(Point, f64)>,
+    life: Span,
+    /// Restarts seen so far on this name.
+    pub restarts: u32,
+}
+
+impl Epoch {
+    /// `life`: the life the gateway gives the name in its calls (the counter forgets a name after it).
+    pub fn new(life: Span) -> Epoch {
+        Epoch { adds: VecDeque::new(), life, restarts: 0 }
+    }
+
+    /// What this gateway holds in the name at `now`: its adds within the life.
+    pub fn own(&self, now: Point) -> f64 {
+        self.adds.iter().filter(|(at, _)| now - *at < self.life).map(|(_, a)| a).sum()
+    }
+
+    /// An add of `amount` answered with `total` at `now`. A total under what this gateway holds means the counter
+    /// restarted; what it lost of this gateway's part is to be added back, and is then counted as held.
+    pub fn answered(&mut self, now: Point, amount: f64, total: f64) -> Seen {
+        while self.adds.front().is_some_and(|(at, _)| now - *at >= self.life) {
+            self.adds.pop_front();
+        }
+        if self.adds.len() >= MOST_ADDS {
+            // Fold the two oldest into the newer of them: its time keeps the pair alive a little longer, which
+            // only makes the restart test more cautious.
+            let (_, a) = self.adds.pop_front().expect("full");
+            self.adds.front_mut().expect("full").1 += a;
+        }
+        self.adds.push_back((now, amount));
+        let own = self.own(now);
+        let short = own - total;
+        if own > 0.0 && short > own * ROUNDING + 1e-3 {
+            self.restarts += 1;
+            Seen::Restarted { add_back: short }
+        } else {
+            Seen::Whole
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(s: f64) -> Point {
+        Point::from_secs(s)
+    }
+
+    #[test]
+    fn a_total_below_what_this_gateway_holds_is_a_restart_and_only_its_part_is_added_back() {
+        let mut e = Epoch::new(Span::from_secs(2.0));
+        assert_eq!(e.answered(at(1.0), 1.0, 1.0), Seen::Whole);
+        assert_eq!(e.answered(at(1.1), 1.0, 5.0), Seen::Whole, "others hold three");
+        assert_eq!(e.answered(at(1.2), -1.0, 4.0), Seen::Whole);
+        // The counter came back at zero: this gateway holds 2 (1 + 1 - 1 + 1) and the total says 1.
+        assert_eq!(e.answered(at(1.3), 1.0, 1.0), Seen::Restarted { add_back: 1.0 });
+        assert_eq!(e.restarts, 1);
+    }
+
+    #[test]
+    fn adds_past_the_life_are_forgotten_as_the_counter_forgets_them() {
+        let mut e = Epoch::new(Span::from_secs(2.0));
+        e.answered(at(1.0), 3.0, 3.0);
+        assert_eq!(e.own(at(2.9)), 3.0);
+        assert_eq!(e.answered(at(3.5), 1.0, 1.0), Seen::Whole, "the name was new again");
+        assert_eq!(e.own(at(3.5)), 1.0);
+    }
+
+    #[test]
+    fn rounding_of_large_totals_is_no_restart_and_memory_is_bounded() {
+        let mut e = Epoch::new(Span::from_secs(60.0));
+        for i in 0..1000 {
+            let own = (i + 1) as f64 * 1000.0;
+            let total = (own as f32 * 0.9999999) as f64;
+            assert_eq!(e.answered(at(i as f64 * 0.01), 1000.0, total), Seen::Whole);
+        }
+        assert!(e.adds.len() <= MOST_ADDS);
+        assert!((e.own(at(10.0)) - 1e6).abs() < 1e-6);
+    }
+}
