--- a/example/src/counter.rs
+++ b/example/src/counter.rs
@@ -201,7 +201,8 @@
 
     fn add(at: SocketAddr, amount: &str) -> String {
         let mut s = TcpStream::connect(at).unwrap();
-        let call = format!("*4\r\n$7\r\nCNT.ADD\r\n$1\r\nq\r\n${}\r\n{amount}\r\n$4\r\n9000\r\n", amount.len());
+        let call =
+            format!("*4\r\n$7\r\nCNT.ADD\r\n$1\r\nq\r\n${}\r\n{amount}\r\n$4\r\n9000\r\n", amount.len());
         s.write_all(call.as_bytes()).unwrap();
         let mut from = BufReader::new(s);
         let (mut head, mut total) = (String::new(), String::new());
