Lab: SIGINT and SIGTERM end the run and every gateway it started

Change: a handler (ctrlc) sets a stop flag; clients send nothing more, the fleet is dropped and its gateways ended; exit 130; gateway pids logged.

--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -89,6 +89,7 @@
                     log.push_back(line);
                 }
             });
+            tracing::info!(gateway = i, pid = child.id(), "gateway started");
             fleet.children.push(child);
             fleet.logs.push(log);
         }
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -76,7 +76,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut conn: Option<BufReader<TcpStream>> = None;
     loop {
-        let Some(d) = q.lock().unwrap().pop_front() else { return };
+        let Some(d) = q.lock().unwrap().pop_front().filter(|_| !crate::run::stopped()) else { return };
         let wait = d.at - plan.start.elapsed().as_secs_f64();
         if wait > 0.0 {
             sleep(Duration::from_secs_f64(wait));
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -105,7 +105,11 @@
             tracing_subscriber::EnvFilter::try_from_default_env().unwrap_or_else(|_| "info".into()),
         )
         .init();
+    if let Err(e) = ctrlc::set_handler(|| run::STOP.store(true, std::sync::atomic::Ordering::SeqCst)) {
+        tracing::warn!("no handler for SIGINT and SIGTERM: {e}");
+    }
     match act(Cli::parse().command) {
+        _ if run::stopped() => ExitCode::from(130),
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(e) => {
@@ -147,7 +151,7 @@
             let s = scenario(&path)?;
             let b = bench(&common, None, None)?;
             let mut rows = vec![];
-            for x in times {
+            for x in times.into_iter().take_while(|_| !run::stopped()) {
                 let mut one = s.clone();
                 one.load.rate *= x;
                 one.name = format!("{} x{x}", s.name);
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -11,6 +11,16 @@
 use crate::terms::LabTerms;
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Set on SIGINT or SIGTERM: clients send nothing more, the run ends as usual and its gateways are ended with it,
+/// rather than left running when the lab is stopped half way.
+pub static STOP: AtomicBool = AtomicBool::new(false);
+
+/// Whether the lab was asked to stop.
+pub fn stopped() -> bool {
+    STOP.load(Ordering::SeqCst)
+}
 
 pub struct Bench {
     pub build: Build,
