--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -64,6 +64,9 @@
         common: Common,
         #[arg(long, value_delimiter = ',', default_value = "0.25,0.5,1,2,4")]
         times: Vec<f64>,
+        /// Sweep the length of every fault instead, s (the load stays as written).
+        #[arg(long, value_delimiter = ',', conflicts_with = "times")]
+        outage: Vec<f64>,
     },
     /// Checks a scenario file and says what it would play.
     Check { scenario: PathBuf },
@@ -147,26 +150,34 @@
             println!("{table}");
             Ok(ra.kept() && rb.kept())
         }
-        Command::Sweep { scenario: path, common, times } => {
+        Command::Sweep { scenario: path, common, times, outage } => {
             let s = scenario(&path)?;
             let b = bench(&common, None, None)?;
             let mut rows = vec![];
-            for x in times.into_iter().take_while(|_| !run::stopped()) {
+            let by_outage = !outage.is_empty();
+            let xs = if by_outage { outage } else { times };
+            for x in xs.into_iter().take_while(|_| !run::stopped()) {
                 let mut one = s.clone();
-                one.load.rate *= x;
-                one.name = format!("{} x{x}", s.name);
+                if by_outage {
+                    one.faults.iter_mut().for_each(|f| f.span = x);
+                    one.name = format!("{} {x}s", s.name);
+                } else {
+                    one.load.rate *= x;
+                    one.name = format!("{} x{x}", s.name);
+                }
                 one.check()?;
                 rows.push((x, run::run(&one, &b)?));
             }
             let dir = out(&common, &format!("{}-sweep", s.name));
+            let axis = if by_outage { "outage, s" } else { "load, times the scenario's" };
             for (x, sum) in &rows {
-                run::write(sum, &dir.join(format!("x{x}")))?;
+                run::write(sum, &dir.join(if by_outage { format!("{x}s") } else { format!("x{x}") }))?;
             }
             std::fs::create_dir_all(&dir).map_err(|e| e.to_string())?;
-            let table = report::sweep(&rows);
+            let table = report::sweep(&rows, axis);
             std::fs::write(dir.join("sweep.md"), format!("{table}\n![sweep](sweep.svg)\n"))
                 .map_err(|e| e.to_string())?;
-            lupinledge_lab::plot::sweep(&rows, &dir.join("sweep.svg")).map_err(|e| e.to_string())?;
+            lupinledge_lab::plot::sweep(&rows, axis, &dir.join("sweep.svg")).map_err(|e| e.to_string())?;
             println!("{table}");
             Ok(rows.iter().all(|r| r.1.kept()))
         }
--- a/lab/src/plot.rs
+++ b/lab/src/plot.rs
@@ -78,26 +78,27 @@
 }
 
 /// Goodput and missed share against the load multiple.
-pub fn sweep(rows: &[(f64, Summary)], path: &std::path::Path) -> Result<(), Failed> {
-    let root = SVGBackend::new(path, (960, 400)).into_drawing_area();
+pub fn sweep(rows: &[(f64, Summary)], axis: &str, path: &std::path::Path) -> Result<(), Failed> {
+    let root = SVGBackend::new(path, (1200, 400)).into_drawing_area();
     root.fill(&WHITE)?;
-    let (left, right) = root.split_horizontally(480);
+    let panels = root.split_evenly((1, 3));
+    let (left, right, third) = (&panels[0], &panels[1], &panels[2]);
     let most_x = rows.iter().map(|r| r.0).fold(1.0, f64::max);
     let most = rows.iter().map(|r| r.1.goodput).fold(1.0, f64::max);
     let name = rows.first().map_or(String::new(), |r| r.1.name.clone());
-    let mut g = panel(
-        &left,
-        &format!("{name} (emulated): goodput /s"),
-        most_x * 1.05,
-        most * 1.1,
-        "load, times the scenario's",
-    )?;
+    let mut g = panel(left, &format!("{name} (emulated): goodput /s"), most_x * 1.05, most * 1.1, axis)?;
     g.draw_series(LineSeries::new(rows.iter().map(|r| (r.0, r.1.goodput)), BLUE.stroke_width(2)))?;
     g.draw_series(rows.iter().map(|r| Circle::new((r.0, r.1.goodput), 3, BLUE.filled())))?;
-    let mut m =
-        panel(&right, "share missing the response target", most_x * 1.05, 1.0, "load, times the scenario's")?;
+    let mut m = panel(right, "share missing the response target", most_x * 1.05, 1.0, axis)?;
     m.draw_series(LineSeries::new(rows.iter().map(|r| (r.0, r.1.missed_share())), RED.stroke_width(2)))?;
     m.draw_series(rows.iter().map(|r| Circle::new((r.0, r.1.missed_share()), 3, RED.filled())))?;
+    let worst = rows.iter().map(|r| r.1.quota_over).fold(0.1, f64::max);
+    let mut q = panel(third, "quota: worst window over its allowance", most_x * 1.05, worst * 1.1, axis)?;
+    let bound = crate::report::QUOTA_BOUND;
+    series(&mut q, vec![(0.0, bound), (most_x * 1.05, bound)], BLACK, "the stated bound, 5%")?;
+    series(&mut q, rows.iter().map(|r| (r.0, r.1.quota_over)).collect(), MAGENTA, "worst over")?;
+    q.draw_series(rows.iter().map(|r| Circle::new((r.0, r.1.quota_over), 3, MAGENTA.filled())))?;
+    q.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK).draw()?;
     root.present()?;
     Ok(())
 }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -272,10 +272,11 @@
 }
 
 /// A sweep: one row a load multiple.
-pub fn sweep(rows: &[(f64, Summary)]) -> String {
-    let mut m = String::from(
-        "| load | reqs | goodput /s | missed targets | p99 ms | rules | gateway peak MiB | lab peak MiB | tool lag p99 ms |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+pub fn sweep(rows: &[(f64, Summary)], axis: &str) -> String {
+    let mut m = format!(
+        "| {axis} | reqs | goodput /s | missed targets | p99 ms | rules | quota: worst over | windows over 5% | \
+         denied with room | gateway peak MiB | lab peak MiB | tool lag p99 ms |\n\
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n"
     );
     for (x, s) in rows {
         let rules = if s.kept() {
@@ -285,11 +286,14 @@
         };
         let _ = writeln!(
             m,
-            "| {x}x | {} | {} | {} | {} | {rules} | {} | {} | {} |",
+            "| {x} | {} | {} | {} | {} | {rules} | {} | {} | {} | {} | {} | {} |",
             s.reqs,
             round(s.goodput),
             round(s.missed_share()),
             round(s.p99_ms),
+            round(s.quota_over),
+            s.quota_windows_over,
+            s.denied_with_room,
             round(s.gateway_peak_kib as f64 / 1024.0),
             round(s.lab_peak_kib as f64 / 1024.0),
             round(s.lag_p99_ms)
