Lab: use the example's HTTP client; one plan map; a srv's answers chosen once

Need: a read of the whole change found code it wrote again. fleet.rs parsed a health status from 12 bytes by hand, and the broken gateway wrote and read its calls by hand, beside lupinledge_example::http::Client. quota.rs built the customer-to-plan map that rules.rs already builds. srv.rs repeated `out.close()` in every arm of its answer, kept a condition that could only be one of its halves, and world.rs rebuilt srvs from tuples.

Srv is Clone for the schedule's thread.

--- a/example/src/http.rs
+++ b/example/src/http.rs
@@ -56,9 +56,13 @@
 
 impl Client {
     pub fn to(addr: SocketAddr) -> io::Result<Client> {
-        let stream = TcpStream::connect(addr)?;
+        Client::within(addr, Duration::from_secs(10))
+    }
+    /// One that waits at most `wait` to connect and for each read.
+    pub fn within(addr: SocketAddr, wait: Duration) -> io::Result<Client> {
+        let stream = TcpStream::connect_timeout(&addr, wait)?;
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        stream.set_read_timeout(Some(wait))?;
         Ok(Client(BufReader::new(stream)))
     }
     pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
--- a/lab/src/broken.rs
+++ b/lab/src/broken.rs
@@ -2,7 +2,7 @@
 //! once (so it sends to drained srvs for ever) and sends every req to two srvs (so a non-replayable req runs
 //! twice). It speaks just enough of the protocol to be started by the lab like the real one.
 
-use lupinledge_example::http::{read, Message};
+use lupinledge_example::http::{read, Client, Message};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -28,11 +28,10 @@
 }
 
 fn members(discovery: SocketAddr) -> Result<Vec<SocketAddr>, String> {
-    let s = TcpStream::connect(discovery).map_err(|e| format!("discovery: {e}"))?;
-    let mut from = BufReader::new(s.try_clone().map_err(|e| e.to_string())?);
-    (&s).write_all(b"GET /catalog/members HTTP/1.1\r\nHost: d\r\n\r\n").map_err(|e| e.to_string())?;
-    let m = read(&mut from).map_err(|e| e.to_string())?.ok_or("discovery: no answer")?;
-    let list: serde_json::Value = serde_json::from_slice(&m.body).map_err(|e| e.to_string())?;
+    let mut c = Client::to(discovery).map_err(|e| format!("discovery: {e}"))?;
+    let m = c.ask(b"GET /catalog/members HTTP/1.1\r\nHost: d\r\n\r\n").map_err(|e| e.to_string())?;
+    let list: serde_json::Value =
+        serde_json::from_slice(&m.ok_or("discovery: no answer")?.body).map_err(|e| e.to_string())?;
     let rows = list["instances"].as_array().ok_or("discovery: no instances")?;
     Ok(rows.iter().filter_map(|r| r["hostPort"].as_str()?.parse().ok()).collect())
 }
@@ -58,8 +57,6 @@
 }
 
 fn forward(req: &Message, srv: SocketAddr) -> Option<Message> {
-    let s = TcpStream::connect_timeout(&srv, Duration::from_millis(200)).ok()?;
-    s.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
     let mut text = format!("{}\r\n", req.start);
     for (n, v) in &req.headers {
         text.push_str(&format!("{n}: {v}\r\n"));
@@ -67,6 +64,5 @@
     text.push_str("\r\n");
     let mut bytes = text.into_bytes();
     bytes.extend_from_slice(&req.body);
-    (&s).write_all(&bytes).ok()?;
-    read(&mut BufReader::new(s)).ok()?
+    Client::within(srv, Duration::from_millis(200)).ok()?.ask(&bytes).ok()?
 }
--- a/lab/src/emu/srv.rs
+++ b/lab/src/emu/srv.rs
@@ -18,6 +18,7 @@
 /// Most connections one srv holds; further ones are reset, as a real srv's machine does when full.
 pub const MOST_CONNECTIONS: usize = 256;
 
+#[derive(Clone)]
 pub struct Srv {
     pub n: usize,
     pub addr: SocketAddr,
@@ -134,11 +135,8 @@
         let body = format!("made for {}\n", req.header("x-request-id").unwrap_or("nobody"));
         if repeat_of_key || !ran {
             sh.shut(customer, self.n as u16, id);
-            let (status, headers) = if ran || repeat_of_key {
-                ("200 OK", "")
-            } else {
-                ("503 Service Unavailable", "X-Not-Run: 1\r\n")
-            };
+            let (status, headers) =
+                if repeat_of_key { ("200 OK", "") } else { ("503 Service Unavailable", "X-Not-Run: 1\r\n") };
             return answer(to, status, headers, &body);
         }
         if let Some(k) = key {
@@ -192,33 +190,24 @@
             return None;
         }
         // The attempt is out until its answer is written: closed just before the last write.
-        let r = match fault {
-            Some(What::Failing) => {
-                out.close();
-                answer(to, "500 Internal Server Error", "", body)
-            }
+        let (status, headers) = match fault {
             Some(What::ResetMidAnswer) => {
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\nmade", body.len());
                 to.write_all(head.as_bytes()).ok()?;
                 SockRef::from(&*to).set_linger(Some(Duration::ZERO)).ok()?;
                 out.close();
-                None
+                return None;
             }
             Some(What::Informational) => {
                 to.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").ok()?;
-                out.close();
-                answer(to, "200 OK", "", body)
-            }
-            Some(What::SpoiltBilled) => {
-                out.close();
-                answer(to, "200 OK", "Billed-Units: lots\r\n", body)
-            }
-            _ => {
-                out.close();
-                answer(to, "200 OK", "", body)
+                ("200 OK", "")
             }
+            Some(What::Failing) => ("500 Internal Server Error", ""),
+            Some(What::SpoiltBilled) => ("200 OK", "Billed-Units: lots\r\n"),
+            _ => ("200 OK", ""),
         };
-        r
+        out.close();
+        answer(to, status, headers, body)
     }
 }
 
--- a/lab/src/emu/world.rs
+++ b/lab/src/emu/world.rs
@@ -59,10 +59,9 @@
     pub fn play(&mut self) {
         let (shared, discovery, counter) =
             (self.shared.clone(), self.discovery.clone(), self.counter.clone());
-        let rows: Vec<(usize, SocketAddr, String)> =
-            self.srvs.iter().map(|s| (s.n, s.addr, s.zone.clone())).collect();
+        let srvs = self.srvs.clone();
         self.player = Some(spawn(move || {
-            let srv = |n: usize| Srv { n, addr: rows[n].1, zone: rows[n].2.clone() };
+            let srv = |n: usize| &srvs[n];
             for (at, i, begins) in schedule::moments(&shared.faults) {
                 while shared.now() < at {
                     if shared.over() {
@@ -74,12 +73,10 @@
                 }
                 let f = &shared.faults[i];
                 match (f.target(), f.what, begins) {
-                    (Ok(Target::Srv(n)), What::Drain, true) => {
-                        discovery.put(vec![row(&srv(n), "leaving", 0)])
-                    }
-                    (Ok(Target::Srv(n)), What::Drain, false) => discovery.put(vec![row(&srv(n), "left", 0)]),
+                    (Ok(Target::Srv(n)), What::Drain, true) => discovery.put(vec![row(srv(n), "leaving", 0)]),
+                    (Ok(Target::Srv(n)), What::Drain, false) => discovery.put(vec![row(srv(n), "left", 0)]),
                     (Ok(Target::Srv(n)), What::Cold { .. }, true) => {
-                        discovery.put(vec![row(&srv(n), "active", unix_ms())])
+                        discovery.put(vec![row(srv(n), "active", unix_ms())])
                     }
                     (_, What::Busy, true) => counter.now(Manner::Busy),
                     (_, What::Stall, true) => counter.now(Manner::Silent),
@@ -91,7 +88,7 @@
                         let s = srv(n);
                         discovery.put(vec![entry(&format!("lab-s{n}"), nowhere(), &s.zone, "active", 0)])
                     }
-                    (_, What::Wrong { srv: n }, false) => discovery.put(vec![row(&srv(n), "active", 0)]),
+                    (_, What::Wrong { srv: n }, false) => discovery.put(vec![row(srv(n), "active", 0)]),
                     _ => {}
                 }
                 tracing::debug!(at, fault = f.what.label(), begins, "schedule");
--- a/lab/src/fleet.rs
+++ b/lab/src/fleet.rs
@@ -4,10 +4,11 @@
 use crate::emu::world::World;
 use crate::scenario::Scenario;
 use crate::terms::LabTerms;
+use lupinledge_example::http::Client;
 use serde_json::json;
 use std::collections::VecDeque;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -163,10 +164,7 @@
 }
 
 fn health(addr: SocketAddr) -> Option<u16> {
-    let mut s = TcpStream::connect_timeout(&addr, Duration::from_millis(500)).ok()?;
-    s.set_read_timeout(Some(Duration::from_millis(500))).ok()?;
-    s.write_all(b"GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").ok()?;
-    let mut head = [0u8; 12];
-    s.read_exact(&mut head).ok()?;
-    std::str::from_utf8(&head[9..12]).ok()?.parse().ok()
+    let mut c = Client::within(addr, Duration::from_millis(500)).ok()?;
+    let m = c.ask(b"GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n").ok()??;
+    Some(m.status())
 }
--- a/lab/src/quota.rs
+++ b/lab/src/quota.rs
@@ -31,7 +31,7 @@
 /// A window's denials count as ones with room when the window used less than `room_below` of what the store
 /// fills with in it (the store's own content may have gone in the window before).
 pub fn windows(record: &Record, terms: &LabTerms, span_s: f64, room_below: f64) -> Vec<Window> {
-    let plans: BTreeMap<u32, u8> = record.reqs.iter().map(|r| (r.customer, r.plan)).collect();
+    let plans = crate::rules::customer_plans(record);
     let slot = |t: f64| (t / span_s).floor().max(0.0) as u64;
     let mut first: BTreeMap<u64, (u32, f64)> = BTreeMap::new();
     for a in record.arrivals.iter().filter(|a| a.ran && !a.repeat_of_key) {
--- a/lab/src/rules.rs
+++ b/lab/src/rules.rs
@@ -116,7 +116,8 @@
     v
 }
 
-fn customer_plans(record: &Record) -> BTreeMap<u32, u8> {
+/// Each customer's plan, from its reqs (a customer keeps one plan through a run).
+pub(crate) fn customer_plans(record: &Record) -> BTreeMap<u32, u8> {
     record.reqs.iter().map(|r| (r.customer, r.plan)).collect()
 }
 
