Unmarked late repeats are denied, and overdue dispatches go on where copies may not

Change: marksRetry joins the terms; an unmarked repeat is known by its customer's own longest time left. A dispatch is called back only when its srv is convicted, in place of the time-out.

--- a/src/control.rs
+++ b/src/control.rs
@@ -212,10 +212,15 @@
         let c = self.customer(n.customer, n.plan, n.spread.max(1.0));
         let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
         self.customers[c].follow(n.plan, n.spread.max(1.0), p.burst);
-        // A repeat counts from its first try: time left that the client timeout cut tells when that was.
+        // A repeat counts from its first try: time left that the client timeout cut tells when that was. Where
+        // repeats carry no mark, it is cut if the same customer came with more: some have short time-outs of
+        // their own. Who first comes with a repeat has it taken for a first try
+        let own = &mut self.customers[c].most_left;
+        *own = own.max(n.left.secs() / f.timeout.secs());
         let most = &mut self.most_left[frontend];
         *most = most.max(n.left.secs());
-        let cut = n.repeat && n.left.secs() < 0.99 * *most && f.late_value == 0.0;
+        let most = if self.terms.marks_repeats { *most } else { *own * f.timeout.secs() };
+        let cut = (n.repeat || !self.terms.marks_repeats) && n.left.secs() < 0.99 * most;
         let target = self.now + f.target - if cut { f.timeout - n.left } else { Span::ZERO };
         let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
         let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
@@ -372,6 +377,16 @@
             // a fleet-wide slowness makes lateness weak evidence against one srv
             self.evidence(srv, (0.5 / self.late_share.clamp(0.05, 0.5)).ln());
         }
+        // where no second copy may be out beside it, a dispatch at a convicted srv is called back to free the
+        // req. A time-out of any overdue one would only do the same work twice where all is slow (ageing)
+        if running == 1 && !self.terms.may_duplicate && self.now < give_up {
+            let (effect, distrust) = (self.terms.frontends[f].effect, &self.srvs.distrust);
+            let convicted = |t: &&mut Try| distrust[t.srv] > 0.5 && effect != Effect::NonReplayable;
+            for t in self.reqs.at_mut(slot).into_iter().flat_map(Req::running).filter(convicted) {
+                t.unwanted = self.terms.may_cancel;
+                self.touched.push(slot);
+            }
+        }
         // second copies only while the pool has room: where all is late, more load helps nobody
         let copy = sick && running < 2 && self.line.waiting == 0;
         if running > 0 && !(copy && self.now < give_up && (self.out as f64) < self.limit) {
@@ -631,13 +646,11 @@
         for slot in std::mem::take(&mut self.touched) {
             let Some(f) = self.reqs.at(slot).map(|r| r.frontend) else { continue };
             let after = self.overdue_after(f);
-            // where a second copy may not be out beside the first, a time-out has to free the req
-            let frees = !self.terms.may_duplicate && self.terms.frontends[f].effect != Effect::NonReplayable;
-            let limit = if frees { Span::from_secs(1.5 * after) } else { Span::ZERO };
             let Some(r) = self.reqs.at_mut(slot) else { continue };
             for t in r.tries.iter_mut().filter(|t| !t.told) {
                 t.told = true;
-                acts.push(Action::Dispatch { id: r.id, srv: self.srvs.door.id(t.srv) as u32, limit });
+                let srv = self.srvs.door.id(t.srv) as u32;
+                acts.push(Action::Dispatch { id: r.id, srv, limit: Span::ZERO });
                 self.wakes.push(self.now.later(after), slot, r.id);
             }
             if let Some(end) = r.end.clone().filter(|_| r.stage != Stage::Over) {
@@ -645,7 +658,8 @@
                 r.stage = Stage::Over;
             }
             let (id, over) = (r.id, r.stage == Stage::Over);
-            for (nth, t) in r.tries.iter_mut().enumerate().filter(|(_, t)| over && t.running && !t.dropped) {
+            let idle = |t: &Try| t.running && !t.dropped && (over || t.unwanted);
+            for (nth, t) in r.tries.iter_mut().enumerate().filter(|(_, t)| idle(t)) {
                 t.dropped = true;
                 acts.extend(self.terms.may_cancel.then_some(Action::Cancel { id, nth: nth as u16 }));
             }
--- a/src/link.rs
+++ b/src/link.rs
@@ -67,6 +67,8 @@
     pub warm_after: Span,
     pub fall_multiple: f64,
     pub fall_window: Span,
+    /// Whether clients mark their repeats.
+    pub marks_repeats: bool,
 }
 
 impl Terms {
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -101,6 +101,8 @@
     pub running: bool,
     pub ran: bool,
     pub overdue: bool,
+    /// Called back while its req goes on.
+    pub unwanted: bool,
     pub dropped: bool,
 }
 
@@ -176,8 +178,9 @@
     /// The part of its reqs let through while the counter is crowded, and when that was last moved.
     pub admit: f64,
     pub steered: Option<Point>,
-    /// When its last req came.
+    /// When its last req came, and the most time left that one had, as a part of its client timeout.
     pub seen: Point,
+    pub most_left: f64,
 }
 
 impl Req {
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -113,6 +113,7 @@
 pub fn terms(seed: u64, v: &Value) -> Result<Terms, String> {
     let top = Part(v, "settings");
     let (limits, rules, fam) = (Part::of(v, "limits")?, Part::of(v, "rules")?, Part::of(v, "familyInfo")?);
+    let habits = v.get("clientHabits").map(|v| Part(v, "clientHabits"));
     Ok(Terms {
         seed,
         gateways: top.num("instances")? as usize,
@@ -137,5 +138,6 @@
         warm_after: rules.span("warmAfter")?,
         fall_multiple: rules.num("fallMultiple")?,
         fall_window: rules.span("tipAfter")?,
+        marks_repeats: habits.map_or(Ok(true), |h| h.flag("marksRetry"))?,
     })
 }
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -89,6 +89,7 @@
         warm_after: Span::from_secs(10.0),
         fall_multiple: 3.0,
         fall_window: Span::from_secs(2.0),
+        marks_repeats: num(w, "marks", 1.0) > 0.0,
     }
 }
 
@@ -100,6 +101,7 @@
         "lost" => Outcome::NoConnection,
         "reset" => Outcome::Reset,
         "timeout" => Outcome::TimedOut,
+        "cancelled" => Outcome::Cancelled,
         _ => return None,
     })
 }
@@ -263,6 +265,8 @@
 #[test_case("plan"; "a change of plan is followed")]
 #[test_case("forget"; "who lacks nothing is forgotten")]
 #[test_case("stall"; "one stall of the counter is no crowd")]
+#[test_case("unmarked"; "unmarked repeats are known by their time left")]
+#[test_case("callback"; "a dispatch at a convicted srv is called back")]
 #[test_case("wakes"; "a req that is over wakes nobody")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 fn scenario(name: &str) {
