Reqs of a standstill are as old as their time left shows; cheap overruns go through

The tries refused with room are mostly the uncertain (temporary counts: 30,207 by the part let through, 17,904 for lack of estimated units) though an overrun of the plan standard costs nothing.

Change: a first try is as old as its time left lacks, the standstill at the most. First tries' time left is told by the mark, else by majority. While few places are in use, the cheaper an overrun the more of the uncertain go.

--- a/src/control.rs
+++ b/src/control.rs
@@ -19,7 +19,7 @@
             silent: !terms.counter,
             usual: part(0.2), // first guesses: targets are set some times above the usual time
             tail: part(0.5),
-            most_left: part(0.0),
+            first_left: vec![Default::default(); terms.frontends.len()],
             full_plan: vec![0.2; terms.plans.len()],
             full_frontend: vec![0.2; terms.frontends.len()],
             samples: vec![Vec::new(); terms.frontends.len()],
@@ -30,7 +30,7 @@
 
     pub fn round(&mut self, now: Point, events: Vec<Event>, acts: &mut Vec<Action>) {
         blend(&mut self.used, self.out as f64, 1.0 - (-0.5 * now.since(self.now)).exp());
-        self.now = now;
+        (self.gap, self.now) = (now - self.now, now);
         self.began = if self.began == Point::default() { now } else { self.began };
         for e in events {
             match e {
@@ -212,16 +212,26 @@
         let c = self.customer(n.customer, n.plan, n.spread.max(1.0));
         let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
         self.customers[c].follow(n.plan, n.spread.max(1.0), p.burst);
-        // A repeat counts from its first try: time left that the client timeout cut tells when that was. Where
-        // repeats carry no mark, it is cut if the same customer came with more: some have short time-outs of
-        // their own. Who first comes with a repeat has it taken for a first try
-        let own = &mut self.customers[c].most_left;
-        *own = own.max(n.left.secs() / f.timeout.secs());
-        let most = &mut self.most_left[frontend];
-        *most = most.max(n.left.secs());
-        let most = if self.terms.marks_repeats { *most } else { *own * f.timeout.secs() };
-        let cut = (n.repeat || !self.terms.marks_repeats) && n.left.secs() < 0.99 * most;
-        let target = self.now + f.target - if cut { f.timeout - n.left } else { Span::ZERO };
+        // A repeat counts from its first try. First tries come with the same time left: where repeats are
+        // marked, the most that one without a mark had, else what most come with. What has less was cut by the
+        // client timeout, what has more is a last try, which has all that is left: both tell when the first
+        // one was. Unmarked, only of customers that also come with the usual time: some clients have short
+        // time-outs of their own. Wrong where most reqs are unmarked repeats
+        let (first, votes) = &mut self.first_left[frontend];
+        let usual = |first: Span| (first.secs() - n.left.secs()).abs() < 0.01 * f.timeout.secs();
+        if self.terms.marks_repeats {
+            (*first, *votes) = if n.repeat { (*first, *votes) } else { (n.left.max(*first), 10.0) };
+        } else {
+            *votes = (*votes + if usual(*first) { 1.0 } else { -1.0 }).min(100.0);
+            (*first, *votes) = if *votes < 0.0 { (n.left, 1.0) } else { (*first, *votes) };
+        }
+        let (first, known, usual) = (*first, *votes >= 10.0, usual(*first));
+        let cust = &mut self.customers[c];
+        cust.usual_left |= usual;
+        let cut = known && !usual && (n.repeat || !self.terms.marks_repeats && cust.usual_left);
+        // after a standstill of this gateway a first try may be as old as that: its time left tells
+        let aged = if known { (first - n.left).max(Span::ZERO).min(self.gap) } else { Span::ZERO };
+        let target = self.now + f.target - if cut { f.timeout - n.left } else { aged };
         let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
         let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
         let slot = self.reqs.put(n.id, r);
@@ -231,7 +241,7 @@
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
         let hopeless = self.line.waiting as f64
             > (answers * self.patience(frontend, n.plan)).max(0.3 * self.limit).max(2.0);
-        let past = cut && target < self.now.later(self.typical(frontend));
+        let past = target < self.now.later(self.typical(frontend));
         let short = rated && self.room(c) < n.units;
         let (cust, crowd) = (&self.customers[c], self.crowd);
         let recent = cust.quota.fresh(self.now, ROLL);
@@ -241,9 +251,13 @@
         let no_lease = cust.held >= cap || self.silent && !self.lease_alone(c, cust.held + 1.0);
         // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
         let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
-        let through = crowd < 0.1 || self.rng.f64() < cust.admit * back;
+        // while places are free, the cheaper an overrun is, the more of the uncertain go through
+        let spare = self.line.waiting == 0 && self.used < 0.6 * self.limit;
+        let dear = if spare { p.overrun_cost.min(1.0) } else { 1.0 };
+        let through = crowd < 0.1 || self.rng.f64() < cust.admit.powf(dear) * back;
         let asks = !self.silent && self.rng.f64() < keep;
-        let (ask_quota, ask_lease, no_units) = (rated && asks, cap > 0.0 && asks, short && (recent || !asks));
+        let sure = recent || !asks && (dear >= 1.0 || self.rng.f64() < dear);
+        let (ask_quota, ask_lease, no_units) = (rated && asks, cap > 0.0 && asks, short && sure);
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
         let (charge, leased) = (rated as u8 as f64 * n.units * weight, (cap > 0.0) as u8 as f64 * weight);
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -1,7 +1,7 @@
 //! Plain state containers of the decision module.
 
 use crate::link::{Action, Group, Plan, SrvRow, SrvState, Terms};
-use crate::time::Point;
+use crate::time::{Point, Span};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 
@@ -178,9 +178,9 @@
     /// The part of its reqs let through while the counter is crowded, and when that was last moved.
     pub admit: f64,
     pub steered: Option<Point>,
-    /// When its last req came, and the most time left that one had, as a part of its client timeout.
+    /// When its last req came, and whether one came with the usual time left of first tries.
     pub seen: Point,
-    pub most_left: f64,
+    pub usual_left: bool,
 }
 
 impl Req {
@@ -453,6 +453,8 @@
     pub(crate) rng: fastrand::Rng,
     pub(crate) now: Point,
     pub(crate) began: Point,
+    /// Between the last two rounds.
+    pub(crate) gap: Span,
     pub(crate) reqs: Slab<Req>,
     pub(crate) door: Door,
     pub(crate) customers: Vec<Customer>,
@@ -479,8 +481,8 @@
     pub(crate) line: Line,
     /// by frontend: time taken, smoothed.
     pub(crate) usual: Vec<f64>,
-    /// by frontend: the longest time left that a req came with.
-    pub(crate) most_left: Vec<f64>,
+    /// by frontend: the time left that most reqs come with, by majority vote, and its votes.
+    pub(crate) first_left: Vec<(Span, f64)>,
     /// by frontend: its 95th percentile, smoothed.
     pub(crate) tail: Vec<f64>,
     pub(crate) samples: Vec<Vec<f64>>,
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -1,4 +1,5 @@
 //! Plays the scenarios in `tests/scenarios`. A line `@T EVENT ...` plays timers up to T, then the event at T;
+//! `@T! EVENT ...` plays none of them before: the gateway stood still.
 //! `> TEXT` wants an action since that line that begins so, `! TEXT` none, `= N TEXT` just N.
 //! Events: `list KIND srv[,key=value..] ..`, `req ID key=value ..`, `total X` (to the oldest counter call),
 //! `serve ID N passed|full key=value ..` (N reqs one after the other), `answer ID N key=value ..` (the same, with
@@ -58,7 +59,7 @@
         price: num(w, "price", 1.0),
         at_once: num(w, "at_once", 0.0) as u32,
         overrun_value: 0.0,
-        overrun_cost: 1.0,
+        overrun_cost: num(w, "cost", 1.0),
         ceiling_rate: num(w, "ceiling", 0.0),
         ceiling_burst: num(w, "depth", 0.0),
     }
@@ -142,7 +143,7 @@
             if self.timers[i] >= t {
                 break;
             }
-            self.now = self.timers.swap_remove(i);
+            self.now = self.timers.swap_remove(i).max(self.now);
             self.feed(vec![Event::Timer { token: 0 }]);
         }
         self.now = t;
@@ -266,6 +267,8 @@
 #[test_case("forget"; "who lacks nothing is forgotten")]
 #[test_case("stall"; "one stall of the counter is no crowd")]
 #[test_case("unmarked"; "unmarked repeats are known by their time left")]
+#[test_case("still"; "what came in a standstill is as old as its time left shows")]
+#[test_case("cheap"; "an overrun that costs nothing is let in while places are free")]
 #[test_case("callback"; "a dispatch at a convicted srv is called back")]
 #[test_case("wakes"; "a req that is over wakes nobody")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
@@ -304,7 +307,11 @@
                     sent: Default::default(),
                 });
                 p.log.clear();
-                p.until(w[0].strip_prefix('@').and_then(|t| t.parse().ok()).expect("@TIME"));
+                let time = w[0].strip_prefix('@').expect("@TIME");
+                match time.strip_suffix('!') {
+                    Some(t) => p.now = t.parse().expect("a time"),
+                    None => p.until(time.parse().expect("a time")),
+                }
                 p.event(&w[1..]);
             }
         }
