Misses in a row on a crowded counter are no silence; no free waiters for the cheap

Change: six times the crowd more misses are needed once twenty calls have ended. Plans and frontends with little patience have no waiters for free.

--- a/src/control.rs
+++ b/src/control.rs
@@ -239,8 +239,10 @@
         let (rated, cap) = (p.rate > 0.0, p.at_once as f64);
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
-        let hopeless = self.line.waiting as f64
-            > (answers * self.patience(frontend, n.plan)).max(0.3 * self.limit).max(2.0);
+        let patience = self.patience(frontend, n.plan);
+        // what is cheap beside others has not even two places in the line: of many gateways each has a short one
+        let few = if patience < 0.5 * f.target.secs() { 0.0 } else { 2.0f64.max(0.3 * self.limit) };
+        let hopeless = self.line.waiting as f64 > (answers * patience).max(few);
         let past = target < self.now.later(self.typical(frontend));
         let short = rated && self.room(c) < n.units;
         let (cust, crowd) = (&self.customers[c], self.crowd);
@@ -543,7 +545,10 @@
         self.missed = if sign { self.now } else { self.missed };
         self.crowd = (self.crowd + if answered { -0.002 } else { miss }).max(0.0);
         self.misses = if heard { 0 } else { self.misses + 1 };
-        self.silent = self.misses >= 3; // one or two in a row happen on a crowded counter
+        // one or two in a row happen on a crowded counter, and more on one long known to be; a counter that
+        // goes silent while crowded is seen later
+        let usual = if self.answers > 20.0 { 6.0 * self.crowd } else { 0.0 };
+        self.silent = self.misses as f64 >= 3.0 + usual;
         let added = answered || matches!(how, Outcome::TimedOut | Outcome::Reset);
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
