--- a/tests/play.rs
+++ b/tests/play.rs
@@ -268,6 +268,7 @@
 #[test_case("stall"; "one stall of the counter is no crowd")]
 #[test_case("unmarked"; "unmarked repeats are known by their time left")]
 #[test_case("crowd"; "misses on a crowded counter are no silence")]
+#[test_case("place"; "a lease stands for itself alone")]
 #[test_case("still"; "what came in a standstill is as old as its time left shows")]
 #[test_case("cheap"; "an overrun that costs nothing is let in while places are free")]
 #[test_case("callback"; "a dispatch at a convicted srv is called back")]
