--- a/src/control.rs
+++ b/src/control.rs
@@ -262,7 +262,8 @@
         let (ask_quota, ask_lease, no_units) = (rated && asks, cap > 0.0 && asks, short && sure);
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
-        let (charge, leased) = (rated as u8 as f64 * n.units * weight, (cap > 0.0 && weight > 0.0) as u8 as f64);
+        let (charge, leased) =
+            (rated as u8 as f64 * n.units * weight, (cap > 0.0 && weight > 0.0) as u8 as f64);
         if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
