Watch for settings to come: decide as before, count by kind what would differ

Need: operators want to see what the new shape would change before they switch; every setting that the module reads must come from the configuration.

Without `watch` nothing is counted and no decision reads it.

--- a/gateway/src/program/counters.rs
+++ b/gateway/src/program/counters.rs
@@ -1,6 +1,7 @@
 //! What was taken in, sent and answered, counted by outcome; printed on SIGUSR1 and at exit.
 
 use lupinledge::link::Outcome;
+use lupinledge_watch::Kind;
 use std::cell::Cell;
 use std::fmt;
 
@@ -51,6 +52,8 @@
     pub client_connections: Count,
     pub srv_connections: Count,
     pub rounds: Count,
+    /// By kind, what terms to come would have decided otherwise, where the program watches for them.
+    pub watched: Cell<[u64; Kind::ALL.len()]>,
 }
 
 impl fmt::Display for Counters {
@@ -77,6 +80,9 @@
                 write!(f, " {kind}.{name}={}", n.0.get())?;
             }
         }
+        for (kind, n) in Kind::ALL.iter().zip(self.watched.get()) {
+            write!(f, " watch.{}={n}", kind.name())?;
+        }
         Ok(())
     }
 }
--- a/gateway/src/program/start.rs
+++ b/gateway/src/program/start.rs
@@ -52,6 +52,10 @@
     // a quarter to the server side: a req out there holds a client's connection here for longer
     let (srv_places, client_places) = ((told.sockets - OWN) / 4, (told.sockets - OWN) * 3 / 4);
     let exchange = Exchange::new(told.terms.clone(), clock, counters.clone());
+    if let Some(to_come) = told.watch {
+        log::info!("watching for settings to come: decided as before, counted as watch.*");
+        exchange.watch(to_come);
+    }
     let srvs = Srvs::new(&exchange, &told.outside, Share::of(srv_places));
     let connect_wait = duration(told.outside.connect_wait);
     let counter = told.counter.map(|a| Counter::start(&exchange, a, told.terms.count_wait, connect_wait));
--- a/gateway/src/program/told.rs
+++ b/gateway/src/program/told.rs
@@ -15,6 +15,8 @@
     pub counter: Option<SocketAddr>,
     pub sockets: usize,
     pub terms: Terms,
+    /// Terms to come, for the program to watch: it decides by those in force and counts where these differ.
+    pub watch: Option<Terms>,
     pub outside: Outside,
     pub known: Option<Members>,
 }
@@ -42,6 +44,8 @@
     }
     let settings = v.get("settings").ok_or("`settings`: missing")?;
     let terms = lupinledge_terms::terms(seed, settings).map_err(|e| format!("`settings`: {e}"))?;
+    let watch = v.get("watch").filter(|w| !w.is_null()).map(|w| to_come(seed, settings, w, &terms));
+    let watch = watch.transpose().map_err(|e| format!("`watch`: {e}"))?;
     let outside = lupinledge_terms::outside(settings).map_err(|e| format!("`settings`: {e}"))?;
     let known = match v.get("known").filter(|k| !k.is_null()) {
         None => None,
@@ -61,10 +65,43 @@
         counter: if terms.counter { Some(addr("counter")?) } else { None },
         sockets,
         terms,
+        watch,
         outside,
         known,
     })
 }
 
+/// The settings with the changes that `watch` names: an object's keys one by one, anything else whole.
+fn to_come(seed: u64, settings: &Value, changes: &Value, now: &Terms) -> Result<Terms, String> {
+    if !changes.is_object() {
+        return Err("no object".to_string());
+    }
+    let mut all = settings.clone();
+    lay_over(&mut all, changes, "")?;
+    let terms = lupinledge_terms::terms(seed, &all)?;
+    if (terms.frontends.len(), terms.plans.len()) != (now.frontends.len(), now.plans.len()) {
+        return Err("`classes` and `packages` must be as many as in `settings`".to_string());
+    }
+    Ok(terms)
+}
+
+fn lay_over(to: &mut Value, changes: &Value, path: &str) -> Result<(), String> {
+    let Some(changes) = changes.as_object() else {
+        *to = changes.clone();
+        return Ok(());
+    };
+    for (key, change) in changes {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        // a wrong name would change nothing and look like a shape that needs nothing
+        let known = to.get(key).is_some() || ABSENT.contains(&path.as_str());
+        let to = to.as_object_mut().filter(|_| known).ok_or(format!("`{path}` is in no settings"))?;
+        lay_over(to.entry(key).or_insert_with(|| serde_json::json!({})), change, &path)?;
+    }
+    Ok(())
+}
+
+/// Keys that settings may leave out.
+const ABSENT: [&str; 2] = ["clientHabits", "clientHabits.marksRetry"];
+
 /// Sixteen for the program itself, and as many again for connections of either side.
 const LEAST_SOCKETS: usize = 48;
--- a/gateway/src/routing/exchange.rs
+++ b/gateway/src/routing/exchange.rs
@@ -10,6 +10,7 @@
 use lupinledge::control::Control;
 use lupinledge::link::{Action, Ended, Event, ListKind, NewReq, Outcome, SrvRow, SrvState, Terms};
 use lupinledge::time::{Point, Span};
+use lupinledge_watch::{Kind, Watch};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -158,6 +159,7 @@
     pub counters: Rc<Counters>,
     terms: Terms,
     control: RefCell<Control>,
+    watch: RefCell<Option<Watch>>,
     events: RefCell<Vec<Event>>,
     open: RefCell<HashMap<u64, Open>>,
     /// Reqs that may be over; looked at when a round's actions are done.
@@ -199,6 +201,7 @@
             clock,
             counters,
             control: RefCell::new(Control::new(terms.clone())),
+            watch: RefCell::default(),
             terms,
             events: RefCell::default(),
             open: RefCell::default(),
@@ -216,6 +219,11 @@
         })
     }
 
+    /// Shows all rounds from now on to a watch of terms to come.
+    pub fn watch(&self, terms: Terms) {
+        *self.watch.borrow_mut() = Some(Watch::new(terms));
+    }
+
     pub fn attach(&self, server: Rc<dyn ServerSide>, counter: Option<Rc<dyn CounterSide>>) {
         *self.server_side.borrow_mut() = Some(server);
         *self.counter_side.borrow_mut() = counter;
@@ -388,7 +396,14 @@
     fn round(self: &Rc<Exchange>, now: Point, events: Vec<Event>) {
         self.counters.rounds.up();
         let mut actions = Vec::new();
+        if let Some(w) = &mut *self.watch.borrow_mut() {
+            w.events(now, &events);
+        }
         self.control.borrow_mut().round(now, events, &mut actions);
+        if let Some(w) = &mut *self.watch.borrow_mut() {
+            w.actions(now, &actions);
+            self.counters.watched.set(Kind::ALL.map(|k| w.count(k)));
+        }
         for action in actions {
             match action {
                 Action::Dispatch { id, srv, limit } => self.dispatch(now, id, srv, limit),
--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -424,6 +424,24 @@
     assert!(bad.connections() > 0 && bad.seen().is_empty());
 }
 
+/// What the settings to come would have decided otherwise is counted; the program decides as before.
+#[test]
+fn watching_for_settings_to_come() {
+    let (bad, worse) = (srv(Manner::Error), srv(Manner::Error));
+    let g = Gateway::with(&[bad.addr, worse.addr], |v| {
+        let mut plans = v["settings"]["packages"].clone();
+        (plans[2]["capRate"], plans[2]["neverOverDepth"]) = (json!(0.001), json!(8));
+        v["watch"] = json!({"limits": {"maxAttempts": 1}, "packages": plans});
+    });
+    assert_ne!(g.ask(req("quote", "house", "1").as_bytes()).status(), 200);
+    let dispatches = bad.seen().len() + worse.seen().len();
+    assert!(dispatches > 1);
+    g.signal("USR1");
+    until("its counters", || g.count("watch.attempts").is_some());
+    let counts = ["attempts", "ceiling", "second_copy", "repeat"].map(|k| g.count(&format!("watch.{k}")));
+    assert_eq!(counts, [Some(dispatches as u64 - 1), Some(1), Some(0), Some(0)]);
+}
+
 /// The srv starts to drain while a connection to it comes up: the req doesn't go there any more.
 #[test]
 fn drain_while_connecting() {
@@ -782,6 +800,11 @@
 #[test_case(|v| v["known"] = json!({"generation": 1}), "`known`"; "a list without entries")]
 #[test_case(|v| v["known"] = json!({"generation": 1, "instances": [{"instanceId": "a", "hostPort": "b",
     "lifecycle": "active"}]}), "`hostPort`"; "an entry without an address")]
+#[test_case(|v| v["settings"]["clientHabits"] = json!({"marksRetry": 1}), "`clientHabits.marksRetry`"; "no flag")]
+#[test_case(|v| v["watch"] = json!({"limits": {"mayDuplicates": false}}), "`watch`: `limits.mayDuplicates`";
+    "a change of a setting that is none")]
+#[test_case(|v| v["watch"] = json!({"classes": []}), "`watch`: `classes`"; "other frontends to come")]
+#[test_case(|v| v["watch"] = json!({"rules": {"tipAfter": "x"}}), "`watch`: `rules.tipAfter`"; "a text to come")]
 #[test_case(|v| { v.as_object_mut().unwrap().remove("settings"); }, "`settings`"; "no settings")]
 fn bad_configuration(change: fn(&mut Value), named: &str) {
     let out = program(&configuration(change)).output().expect("the program");
--- a/src/control.rs
+++ b/src/control.rs
@@ -213,10 +213,10 @@
         let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
         self.customers[c].follow(n.plan, n.spread.max(1.0), p.burst);
         // A repeat counts from its first try. First tries come with the same time left: where repeats are
-        // marked, the most that one without a mark had, else what most come with. What has less was cut by the
-        // client timeout, what has more is a last try, which has all that is left: both tell when the first
-        // one was. Unmarked, only of customers that also come with the usual time: some clients have short
-        // time-outs of their own. Wrong where most reqs are unmarked repeats
+        // marked, the most that one without a mark had, else what most come with. What has less was cut by
+        // the client timeout, what has more is a last try, which has all that is left: both tell when the
+        // first one was. Unmarked, only of customers that also come with the usual time: some clients have
+        // short time-outs of their own. Wrong where most reqs are unmarked repeats
         let (first, votes) = &mut self.first_left[frontend];
         let usual = |first: Span| (first.secs() - n.left.secs()).abs() < 0.01 * f.timeout.secs();
         if self.terms.marks_repeats {
@@ -240,7 +240,7 @@
         // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
         let patience = self.patience(frontend, n.plan);
-        // what is cheap beside others has not even two places in the line: of many gateways each has a short one
+        // what is cheap beside others has no place in the line for free: at many gateways each is short
         let few = if patience < 0.5 * f.target.secs() { 0.0 } else { 2.0f64.max(0.3 * self.limit) };
         let hopeless = self.line.waiting as f64 > (answers * patience).max(few);
         let past = target < self.now.later(self.typical(frontend));
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -110,10 +110,18 @@
     Ok(v.get("zones").and_then(Value::as_array).ok_or("no list `zones`")?)
 }
 
+/// Whether clients mark their repeats; so it was taken before the settings told.
+fn marks_repeats(v: &Value) -> Result<bool, String> {
+    match v.get("clientHabits") {
+        None => Ok(true),
+        Some(h) if h.is_object() && h.get("marksRetry").is_none() => Ok(true),
+        Some(_) => Part::of(v, "clientHabits")?.flag("marksRetry"),
+    }
+}
+
 pub fn terms(seed: u64, v: &Value) -> Result<Terms, String> {
     let top = Part(v, "settings");
     let (limits, rules, fam) = (Part::of(v, "limits")?, Part::of(v, "rules")?, Part::of(v, "familyInfo")?);
-    let habits = v.get("clientHabits").map(|v| Part(v, "clientHabits"));
     Ok(Terms {
         seed,
         gateways: top.num("instances")? as usize,
@@ -138,6 +146,6 @@
         warm_after: rules.span("warmAfter")?,
         fall_multiple: rules.num("fallMultiple")?,
         fall_window: rules.span("tipAfter")?,
-        marks_repeats: habits.map_or(Ok(true), |h| h.flag("marksRetry"))?,
+        marks_repeats: marks_repeats(v)?,
     })
 }
--- /dev/null
+++ b/watch/src/lib.rs
@@ -0,0 +1,233 @@
+//! What a gateway watches before its operators move to other terms: it decides as before, and this counts, by
+//! kind, where the terms to come would not have allowed a decision or would have taken it otherwise. It is
+//! shown the events and actions of each round, changes neither, and keeps only reqs that are not over.
+
+use lupinledge::link::{Action, Effect, Event, Frontend, Group, Outcome, SrvRow, Terms};
+use lupinledge::time::Point;
+use std::collections::HashMap;
+
+/// Kinds of decisions that the terms to come would have taken otherwise.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A dispatch beside another of the same req, where two may not be out at once.
+    SecondCopy,
+    /// A dispatch more than a req may have.
+    Attempts,
+    /// A dispatch of a req that may have run, where its effect forbids it.
+    Repeat,
+    /// A denial of a req that may have run, where it would have to be an abort.
+    Denial,
+    /// A first dispatch past this gateway's even part of a hard ceiling.
+    Ceiling,
+    /// A req that its mark tells to be a repeat, where clients carry none.
+    Unmarked,
+    /// A hint when to come back, where none may be given or only a shorter one.
+    Hint,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 7] = [
+        Kind::SecondCopy,
+        Kind::Attempts,
+        Kind::Repeat,
+        Kind::Denial,
+        Kind::Ceiling,
+        Kind::Unmarked,
+        Kind::Hint,
+    ];
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::SecondCopy => "second_copy",
+            Kind::Attempts => "attempts",
+            Kind::Repeat => "repeat",
+            Kind::Denial => "denial",
+            Kind::Ceiling => "ceiling",
+            Kind::Unmarked => "unmarked",
+            Kind::Hint => "hint",
+        }
+    }
+}
+
+struct Sent {
+    srv: u32,
+    at: Point,
+    running: bool,
+    ran: bool,
+}
+
+struct Seen {
+    frontend: usize,
+    plan: usize,
+    units: f64,
+    customer: u64,
+    spread: f64,
+    sent: Vec<Sent>,
+    over: bool,
+}
+
+/// A part of a hard ceiling: empty at the start, as the decisions keep it.
+struct Slice {
+    holds: f64,
+    at: Point,
+}
+
+pub struct Watch {
+    terms: Terms,
+    began: Option<Point>,
+    reqs: HashMap<u64, Seen>,
+    places: HashMap<u32, (u16, u16)>,
+    slices: HashMap<u64, Slice>,
+    counts: [u64; Kind::ALL.len()],
+}
+
+impl Watch {
+    /// With the terms to come. Frontends and plans are those of the terms in force, in the same order.
+    pub fn new(terms: Terms) -> Watch {
+        let (reqs, places, slices) = Default::default();
+        Watch { terms, began: None, reqs, places, slices, counts: [0; Kind::ALL.len()] }
+    }
+
+    /// Shows one round: its events, before the decisions take them.
+    pub fn events(&mut self, now: Point, events: &[Event]) {
+        self.began.get_or_insert(now);
+        for e in events {
+            match e {
+                Event::List { rows, .. } => self.places.extend(rows.iter().map(place)),
+                Event::Req(n) if self.terms.cover(n) => {
+                    if n.repeat && !self.terms.marks_repeats {
+                        self.up(Kind::Unmarked);
+                    }
+                    let (units, spread) = (n.units, n.spread.max(1.0));
+                    let (frontend, plan, customer) = (n.frontend, n.plan, n.customer);
+                    let (sent, over) = (Vec::new(), false);
+                    self.reqs.insert(n.id, Seen { frontend, plan, units, customer, spread, sent, over });
+                }
+                Event::Ended(e, _) => {
+                    let Some(r) = self.reqs.get_mut(&e.id) else { continue };
+                    if let Some(t) = r.sent.get_mut(e.nth as usize) {
+                        t.running = false;
+                        t.ran = !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+                    }
+                    r.over |= e.closed;
+                    self.drop_over(e.id);
+                }
+                Event::Left { id } => self.over(*id),
+                _ => {}
+            }
+        }
+    }
+
+    /// And the actions that the decisions answered it with.
+    pub fn actions(&mut self, now: Point, actions: &[Action]) {
+        for a in actions {
+            match *a {
+                Action::Dispatch { id, srv, .. } => self.dispatch(now, id, srv),
+                Action::Deny { id, back_off } => {
+                    let longest = if self.terms.may_hint { self.terms.longest_hint.secs() } else { 0.0 };
+                    if back_off.secs() > longest + 1e-6 {
+                        self.up(Kind::Hint);
+                    }
+                    let may = self.reqs.get(&id).is_none_or(|r| {
+                        let f = &self.terms.frontends[r.frontend];
+                        let harmless = f.effect == Effect::Uniqued && f.group == Group::All;
+                        f.effect == Effect::Replayable || harmless || !r.sent.iter().any(|t| t.ran)
+                    });
+                    if !may {
+                        self.up(Kind::Denial);
+                    }
+                    self.over(id);
+                }
+                Action::Abort { id } => self.over(id),
+                _ => {}
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: Point, id: u64, srv: u32) {
+        let Some(r) = self.reqs.get_mut(&id) else { return };
+        let f = self.terms.frontends[r.frontend];
+        let (first, running) = (r.sent.is_empty(), r.sent.iter().any(|t| t.running));
+        let attempts = r.sent.len() >= self.terms.max_dispatches as usize;
+        let repeat = r.sent.iter().find(|t| t.ran).is_some_and(|t| !repeats(&f, t, srv, now, &self.places));
+        r.sent.push(Sent { srv, at: now, running: true, ran: true });
+        let (plan, units, customer, spread) = (r.plan, r.units, r.customer, r.spread);
+        for (kind, holds) in [
+            (Kind::SecondCopy, running && !self.terms.may_duplicate),
+            (Kind::Attempts, attempts),
+            (Kind::Repeat, repeat),
+            (Kind::Ceiling, first && !self.ceiling(now, plan, customer, spread, units)),
+        ] {
+            if holds {
+                self.up(kind);
+            }
+        }
+    }
+
+    /// Whether the units fit into the customer's slice here; they are taken from it if they do.
+    fn ceiling(&mut self, now: Point, plan: usize, customer: u64, spread: f64, units: f64) -> bool {
+        let p = &self.terms.plans[plan];
+        if p.ceiling_rate <= 0.0 {
+            return true;
+        }
+        if self.slices.len() >= MOST_SLICES {
+            // a full one is as one never met, but for the time that a new one takes to fill
+            let all = (p.ceiling_burst / p.ceiling_rate).max(1.0);
+            self.slices.retain(|_, s| now.since(s.at) < all);
+        }
+        let at = self.began.unwrap_or(now);
+        let s = self.slices.entry(customer).or_insert(Slice { holds: 0.0, at });
+        let gained = p.ceiling_rate / spread * now.since(s.at);
+        (s.holds, s.at) = ((s.holds + gained).min(p.ceiling_burst / spread), now);
+        let fits = s.holds >= units;
+        s.holds -= if fits { units } else { 0.0 };
+        fits
+    }
+
+    fn over(&mut self, id: u64) {
+        if let Some(r) = self.reqs.get_mut(&id) {
+            r.over = true;
+        }
+        self.drop_over(id);
+    }
+
+    fn drop_over(&mut self, id: u64) {
+        if self.reqs.get(&id).is_some_and(|r| r.over && !r.sent.iter().any(|t| t.running)) {
+            self.reqs.remove(&id);
+        }
+    }
+
+    fn up(&mut self, kind: Kind) {
+        self.counts[kind as usize] += 1;
+    }
+
+    pub fn count(&self, kind: Kind) -> u64 {
+        self.counts[kind as usize]
+    }
+
+    /// Reqs that are not over.
+    pub fn open(&self) -> usize {
+        self.reqs.len()
+    }
+}
+
+fn place(row: &SrvRow) -> (u32, (u16, u16)) {
+    (row.srv, (row.zone, row.cell))
+}
+
+/// Whether a req may go to this srv after a dispatch that may have run.
+fn repeats(f: &Frontend, ran: &Sent, srv: u32, now: Point, places: &HashMap<u32, (u16, u16)>) -> bool {
+    let at = |srv| places.get(&srv).copied().unwrap_or_default();
+    let same = match f.group {
+        Group::All => true,
+        Group::Zone => at(ran.srv).0 == at(srv).0,
+        Group::Cell => at(ran.srv).1 == at(srv).1,
+    };
+    match f.effect {
+        Effect::Replayable => true,
+        Effect::NonReplayable => false,
+        Effect::Uniqued => same && now - ran.at <= f.memory,
+    }
+}
+
+/// Customers under a ceiling that are kept; some megabytes at the most.
+const MOST_SLICES: usize = 65_536;
