A req not asked for needs room under its cap; leases stand for half of it at most

Change: the unasked need room beside what the others had lately. A lease stands for half its cap at the most.

--- a/src/control.rs
+++ b/src/control.rs
@@ -250,7 +250,6 @@
         // those known to be near their quota or cap, or back here soon, are asked for before the calm
         let keep =
             if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
-        let no_lease = cust.held >= cap || self.silent && !self.lease_alone(c, cust.held + 1.0);
         // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
         let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
         // while places are free, the cheaper an overrun is, the more of the uncertain go through
@@ -258,12 +257,16 @@
         let dear = if spare { p.overrun_cost.min(1.0) } else { 1.0 };
         let through = crowd < 0.1 || self.rng.f64() < cust.admit.powf(dear) * back;
         let asks = !self.silent && self.rng.f64() < keep;
+        // decided alone, a place needs room beside what the others had lately
+        let no_lease = cust.held >= cap || !asks && !self.lease_alone(c, cust.held + 1.0);
         let sure = recent || !asks && (dear >= 1.0 || self.rng.f64() < dear);
         let (ask_quota, ask_lease, no_units) = (rated && asks, cap > 0.0 && asks, short && sure);
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
-        let (charge, leased) =
-            (rated as u8 as f64 * n.units * weight, (cap > 0.0 && weight > 0.0) as u8 as f64);
+        let (charge, leased) = (
+            rated as u8 as f64 * n.units * weight,
+            (cap > 0.0) as u8 as f64 * weight.min((0.5 * cap).max(1.0)),
+        );
         if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
@@ -546,10 +549,7 @@
         self.missed = if sign { self.now } else { self.missed };
         self.crowd = (self.crowd + if answered { -0.002 } else { miss }).max(0.0);
         self.misses = if heard { 0 } else { self.misses + 1 };
-        // one or two in a row happen on a crowded counter, and more on one long known to be; a counter that
-        // goes silent while crowded is seen later
-        let usual = if self.answers > 20.0 { 6.0 * self.crowd } else { 0.0 };
-        self.silent = self.misses as f64 >= 3.0 + usual;
+        self.silent = self.misses >= 3; // one or two in a row happen on a crowded counter
         let added = answered || matches!(how, Outcome::TimedOut | Outcome::Reset);
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
         let mut over = reading(self, &call, total, answered, added);
