A req out at convicted srvs alone gets its final answer at once when it is too late

Cause: with the time-outs gone, review() left a req at a silent srv until its client's time was up, also when no further dispatch could be in time.

--- a/src/control.rs
+++ b/src/control.rs
@@ -381,7 +381,7 @@
             _ => return,
         }
         let after = self.overdue_after(f);
-        let (mut running, mut sick, mut late) = (0, false, Vec::new());
+        let (mut running, mut sick, mut sound, mut late) = (0, false, false, Vec::new());
         for t in self.reqs.at_mut(slot).into_iter().flat_map(Req::running) {
             let gone = self.now.since(t.sent);
             if gone >= after && !t.overdue {
@@ -390,6 +390,7 @@
             }
             running += 1;
             sick |= t.overdue || self.srvs.distrust[t.srv] > 0.5;
+            sound |= self.srvs.distrust[t.srv] <= 0.5;
         }
         for (srv, pace) in late {
             blend(&mut self.late_share, 1.0, 0.02);
@@ -397,6 +398,12 @@
             // a fleet-wide slowness makes lateness weak evidence against one srv
             self.evidence(srv, (0.5 / self.late_share.clamp(0.05, 0.5)).ln());
         }
+        // out at convicted srvs only, and too late for another: given up, so that its client can ask again
+        match running > 0 && !sound {
+            true if self.now >= give_up => return self.end(slot),
+            true => self.wakes.push(give_up, slot, id),
+            false => {}
+        }
         // where no second copy may be out beside it, a dispatch at a convicted srv is called back to free the
         // req. A time-out of any overdue one would only do the same work twice where all is slow (ageing)
         if running == 1 && !self.terms.may_duplicate && self.now < give_up {
