Configuration: a ceiling without a burst, and plan figures below 0, name their field

Change: terms/ checks both; a ceiling whose store holds nothing would let nothing pass and look like an outage.

--- a/gateway/tests/sockets.rs
+++ b/gateway/tests/sockets.rs
@@ -803,6 +803,8 @@
 #[test_case(|v| v["settings"]["clientHabits"] = json!({"marksRetry": 1}), "`clientHabits.marksRetry`"; "no flag")]
 #[test_case(|v| v["watch"] = json!({"limits": {"mayDuplicates": false}}), "`watch`: `limits.mayDuplicates`";
     "a change of a setting that is none")]
+#[test_case(|v| v["settings"]["packages"][1]["capRate"] = json!(3), "`packages.neverOverDepth`"; "no burst")]
+#[test_case(|v| v["settings"]["packages"][0]["atOnce"] = json!(-1), "`packages.atOnce`"; "a count below 0")]
 #[test_case(|v| v["watch"] = json!({"classes": []}), "`watch`: `classes`"; "other frontends to come")]
 #[test_case(|v| v["watch"] = json!({"rules": {"tipAfter": "x"}}), "`watch`: `rules.tipAfter`"; "a text to come")]
 #[test_case(|v| { v.as_object_mut().unwrap().remove("settings"); }, "`settings`"; "no settings")]
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -64,6 +64,14 @@
 }
 
 fn plan(p: &Part) -> Result<Plan, String> {
+    for key in ["unitsPerS", "storeSize", "atOnce", "capRate", "neverOverDepth"] {
+        if p.num(key)? < 0.0 {
+            return Err(format!("`{}.{key}` is below 0", p.1));
+        }
+    }
+    if p.num("capRate")? > 0.0 && p.num("neverOverDepth")? <= 0.0 {
+        return Err(format!("`{}.neverOverDepth` is 0 beside a `capRate`: nothing would pass", p.1));
+    }
     Ok(Plan {
         rate: p.num("unitsPerS")?,
         burst: p.num("storeSize")?,
