--- a/tests/play.rs
+++ b/tests/play.rs
@@ -270,6 +270,7 @@
 #[test_case("unasked"; "no place decided alone on a cap that others fill")]
 #[test_case("place"; "a lease stands for half its cap at the most")]
 #[test_case("given_up"; "a req out at convicted srvs alone is not sat on")]
+#[test_case("line"; "the cheap have no place in the line for free")]
 #[test_case("still"; "what came in a standstill is as old as its time left shows")]
 #[test_case("cheap"; "an overrun that costs nothing is let in while places are free")]
 #[test_case("callback"; "a dispatch at a convicted srv is called back")]
