Module: regions, a budget of further dispatches, cold sends, slow counters, changing terms

Cause: the system's data plane needs what the present deployments never told: how far zones are, how many second servers may be tried over all gateways, what a cold server bears, and terms that change while the program runs. Ruled out: a second decision module for the system (two policies); one decision object over all services (its pool limit, line and usual times are one pool's; a Control a service needs no change of that). Change: Terms.regions/start_each/further/cold_sends/patient, NewReq.zones, Frontend.max_dispatches, Event::Terms.

--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -183,7 +183,8 @@
             let (units, customer, plan) = (r.f32()?, r.u64()?, r.u32()? as usize);
             let spread = r.f32()?;
             let repeat = flags & 2 != 0;
-            Event::Req(NewReq { id, frontend, repeat, units, customer, plan, spread, left: r.span()? })
+            let (left, zones) = (r.span()?, u64::MAX);
+            Event::Req(NewReq { id, frontend, repeat, units, customer, plan, spread, left, zones })
         }
         259 => {
             let (id, nth) = (r.u64()?, r.u16()?);
--- a/src/control.rs
+++ b/src/control.rs
@@ -17,6 +17,7 @@
             rng: fastrand::Rng::with_seed(terms.seed),
             asks: terms.ask_list,
             silent: !terms.counter,
+            further: terms.further.map_or(1.0, |(_, most)| most),
             usual: part(0.2), // first guesses: targets are set some times above the usual time
             tail: part(0.5),
             first_left: vec![Default::default(); terms.frontends.len()],
@@ -42,6 +43,7 @@
                 Event::Counted { name, total, how } => self.counted(name, total, how),
                 Event::Timer { .. } => self.armed = None,
                 Event::Peer { body, .. } => self.heard(&body),
+                Event::Terms(terms) => self.change(*terms),
                 Event::Probed { .. } => {}
             }
         }
@@ -62,6 +64,25 @@
         self.settle(acts);
     }
 
+    /// Frontends and plans not met before get first guesses; what is known of the others stays.
+    fn change(&mut self, terms: Terms) {
+        self.limit *= self.terms.gateways.max(1) as f64 / terms.gateways.max(1) as f64;
+        let fresh = Control::new(terms);
+        let other = |f: usize| {
+            self.terms.frontends.get(f).is_none_or(|o| o.target != fresh.terms.frontends[f].target)
+        };
+        for f in (0..fresh.usual.len()).filter(|&f| other(f)) {
+            put_at(&mut self.usual, f, fresh.usual[f]);
+            put_at(&mut self.tail, f, fresh.tail[f]);
+            put_at(&mut self.first_left, f, Default::default());
+            put_at(&mut self.samples, f, Vec::new());
+            put_at(&mut self.full_frontend, f, 0.2);
+        }
+        self.full_plan.resize(fresh.full_plan.len(), 0.2);
+        self.srvs.widen(fresh.terms.plans.len());
+        self.terms = fresh.terms;
+    }
+
     fn second(&mut self) {
         self.decide();
         self.forget(WINDOW); // a customer's names live no longer
@@ -73,6 +94,7 @@
         for i in 0..self.srvs.ready.len() {
             let least = 1.0 / self.terms.gateways.max(1) as f64; // where nothing is known
             let rate = (0.5 * self.terms.fall_multiple * self.warmth(i) * each).max(least);
+            let rate = self.terms.cold_sends.unwrap_or(rate);
             let most = (rate * self.terms.fall_window.secs() / 4.0).max(1.0);
             let s = &mut self.srvs;
             s.tokens[i] = (s.tokens[i] + rate).min(most);
@@ -131,7 +153,7 @@
 
     /// DESIGN: a set figure per ready srv, of all gateways together. Two and four: no better beyond noise.
     fn start(&self) -> f64 {
-        3.0 / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
+        self.terms.start_each / self.terms.gateways.max(1) as f64 * self.srvs.open().count().max(1) as f64
     }
 
     /// What a srv can do now as a share of its capacity, going by the slowest warming that the rules allow.
@@ -171,7 +193,11 @@
             // whole credits: none at half distrust, then one as a trial; two elsewhere, whatever the limit
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
-            let near = if !home || s.zone[i] == self.terms.zone { 1.0 } else { 1.05 };
+            let near = match self.terms.distance(s.zone[i]) {
+                2 => 3.0, // another region: far, and its bytes are dear
+                1 if home => 1.05,
+                _ => 1.0,
+            };
             let cost = (s.out[i] as f64 + 1.0) / credit * near * (1.0 + 0.02 * self.rng.f64());
             if left && best.is_none_or(|b| cost < b.0) {
                 best = Some((cost, i));
@@ -184,9 +210,16 @@
     fn may_go(&self, slot: usize, i: usize) -> bool {
         let Some(r) = self.reqs.at(slot) else { return false };
         let (f, s) = (&self.terms.frontends[r.frontend], &self.srvs);
-        let most = self.terms.max_dispatches as usize;
+        let most = f.max_dispatches as usize;
+        let barred = r.zones >> s.zone[i].min(63) & 1 == 0 || !r.tries.is_empty() && self.further < 1.0;
         let twice = |t: &Try| t.running && (t.srv == i || !self.terms.may_duplicate);
-        if !s.ready[i] || r.tries.len() >= most || r.begun || r.end.is_some() || r.tries.iter().any(twice) {
+        if !s.ready[i]
+            || barred
+            || r.tries.len() >= most
+            || r.begun
+            || r.end.is_some()
+            || r.tries.iter().any(twice)
+        {
             return false;
         }
         let Some(first) = r.tries.iter().find(|t| t.ran) else { return true };
@@ -233,7 +266,13 @@
         let aged = if known { (first - n.left).max(Span::ZERO).min(self.gap) } else { Span::ZERO };
         let target = self.now + f.target - if cut { f.timeout - n.left } else { aged };
         let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
-        let r = Req { id: n.id, frontend, customer: c, units: n.units, ends, target, ..Default::default() };
+                                                                            // a late answer earns too: while nobody waits, what comes back past its target goes on to its end
+        let past = target < self.now.later(self.typical(frontend));
+        let late = past && self.terms.patient && f.late_value > 0.0 && self.line.waiting == 0;
+        let (past, target) = if late { (false, ends) } else { (past, target) };
+        self.further = self.terms.further.map_or(1.0, |(ratio, most)| (self.further + ratio).min(most));
+        let (id, units, zones) = (n.id, n.units, n.zones);
+        let r = Req { id, frontend, customer: c, units, ends, target, zones, ..Default::default() };
         let slot = self.reqs.put(n.id, r);
         self.wakes.push(ends, slot, n.id);
         let (rated, cap) = (p.rate > 0.0, p.at_once as f64);
@@ -243,7 +282,6 @@
         // what is cheap beside others has no place in the line for free: at many gateways each is short
         let few = if patience < 0.5 * f.target.secs() { 0.0 } else { 2.0f64.max(0.3 * self.limit) };
         let hopeless = self.line.waiting as f64 > (answers * patience).max(few);
-        let past = target < self.now.later(self.typical(frontend));
         let short = rated && self.room(c) < n.units;
         let (cust, crowd) = (&self.customers[c], self.crowd);
         let recent = cust.quota.fresh(self.now, ROLL);
@@ -260,7 +298,9 @@
         // decided alone, a place needs room beside what the others had lately
         let no_lease = cust.held >= cap || !asks && !self.lease_alone(c, cust.held + 1.0);
         let sure = recent || !asks && (dear >= 1.0 || self.rng.f64() < dear);
-        let (ask_quota, ask_lease, no_units) = (rated && asks, cap > 0.0 && asks, short && sure);
+        // DESIGN: where a call is slow, the room that the last total left is divided, and not waited for
+        let ahead = asks && self.slow > 0.02 && recent && self.room(c) * self.share(c) >= n.units;
+        let (ask_quota, ask_lease, no_units) = (rated && asks && !ahead, cap > 0.0 && asks, short && sure);
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
         let (charge, leased) = (
@@ -275,6 +315,7 @@
         cust.hold(1.0, leased);
         (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
         cust.quota.joins.extend(Some((slot, n.id, charge)).filter(|_| ask_quota));
+        cust.quota.urgent |= ahead;
         cust.lease.joins.extend(Some((slot, n.id, leased)).filter(|_| ask_lease));
         self.reqs.at_mut(slot).into_iter().for_each(|r| (r.charge, r.leased) = (charge, leased));
         self.dirty.push(c);
@@ -332,6 +373,9 @@
     fn send(&mut self, slot: usize, srv: usize) {
         self.srvs.tokens[srv] -= 1.0; // counts while it is cold
         let Some(r) = self.reqs.at_mut(slot) else { return };
+        if !r.tries.is_empty() {
+            self.further -= self.terms.further.is_some() as u8 as f64;
+        }
         if r.stage == Stage::Out {
             self.customers[r.customer].hold(1.0, r.leased); // the first dispatch has the lease of the queue
             self.dirty.push(r.customer);
@@ -398,9 +442,10 @@
             // a fleet-wide slowness makes lateness weak evidence against one srv
             self.evidence(srv, (0.5 / self.late_share.clamp(0.05, 0.5)).ln());
         }
+        let waits = self.terms.patient && self.terms.frontends[f].effect == Effect::NonReplayable;
         // out at convicted srvs only, and too late for another: given up, so that its client can ask again
         match running > 0 && !sound {
-            true if self.now >= give_up => return self.end(slot),
+            true if self.now >= give_up && !waits => return self.end(slot),
             true => self.wakes.push(give_up, slot, id),
             false => {}
         }
@@ -436,6 +481,8 @@
         let Some(t) = r.tries.get_mut(e.nth as usize).filter(|t| t.running) else { return };
         t.running = false;
         t.ran = !matches!(e.how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent);
+        // what never came to a srv was no further dispatch
+        self.further += (!t.ran && e.how != Outcome::Full && self.terms.further.is_some()) as u8 as f64;
         let (srv, was_late, sent) = (t.srv, t.overdue, t.sent);
         (self.srvs.out[srv], self.out) = (self.srvs.out[srv] - 1, self.out - 1);
         self.customers[c].hold(-1.0, -leased);
@@ -546,6 +593,7 @@
     fn counted(&mut self, name: u64, total: f64, how: Outcome) {
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
+        blend(&mut self.slow, self.now.since(call.sent), if answered { 0.1 } else { 0.0 });
         // A crowded counter gets fewer calls; an unanswered one weighs as much as 50 answered (25: no better)
         // and a fresh gateway's first ones most: of hundreds none makes many before the jam. What one stall
         // held up is one sign; a spoilt answer is none, nor silence: of so many in a row a crowd answers some
@@ -748,7 +796,7 @@
             let units = joins.iter().map(|j: &(usize, u64, f64)| j.2).sum();
             let life = Span::from_secs(2.0 * if lease { ROLL } else { WINDOW });
             acts.push(Action::Count { name, amount, life });
-            self.calls.put(name, Call { customer: c, lease, epoch, amount, units, joins });
+            self.calls.put(name, Call { customer: c, lease, epoch, amount, units, joins, sent: self.now });
         }
     }
 }
--- a/src/link.rs
+++ b/src/link.rs
@@ -27,6 +27,8 @@
     pub late_value: f64,
     pub value: f64,
     pub timeout: Span,
+    /// Srvs that one req may be sent to.
+    pub max_dispatches: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -58,7 +60,6 @@
     pub peers: bool,
     pub peer_intake: f64,
     pub ask_list: bool,
-    pub max_dispatches: u32,
     pub may_duplicate: bool,
     pub may_cancel: bool,
     pub may_hint: bool,
@@ -69,9 +70,24 @@
     pub fall_window: Span,
     /// Whether clients mark their repeats.
     pub marks_repeats: bool,
+    /// The region of each zone; empty where all are as far.
+    pub regions: Vec<u16>,
+    /// Where the pool limit starts, for each ready srv and all gateways together.
+    pub start_each: f64,
+    /// Further dispatches: their ratio to reqs, and how many may be past it from here.
+    pub further: Option<(f64, f64)>,
+    /// Sends a second that one cold srv may get from here; none: by `fall_multiple`.
+    pub cold_sends: Option<f64>,
+    /// Late answers are waited for, and a req that may have run to its end.
+    pub patient: bool,
 }
 
 impl Terms {
+    /// How far a zone is: 0 the own one, 1 near, 2 in another region.
+    pub fn distance(&self, zone: u16) -> u8 {
+        let region = |z: u16| self.regions.get(z as usize);
+        (zone != self.zone) as u8 + (region(zone) != region(self.zone)) as u8
+    }
     /// Whether the terms have the frontend and the plan that a req names.
     pub fn cover(&self, req: &NewReq) -> bool {
         req.frontend < self.frontends.len() && req.plan < self.plans.len()
@@ -125,6 +141,8 @@
     pub plan: usize,
     pub spread: f64,
     pub left: Span,
+    /// The zones whose srvs may have it, a bit each.
+    pub zones: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -139,15 +157,39 @@
 
 #[derive(Clone, Debug)]
 pub enum Event {
-    List { kind: ListKind, rows: Vec<SrvRow> },
+    List {
+        kind: ListKind,
+        rows: Vec<SrvRow>,
+    },
     Req(NewReq),
-    Begun { id: u64, nth: u16 },
+    Begun {
+        id: u64,
+        nth: u16,
+    },
     Ended(Ended, Vec<f32>),
-    Left { id: u64 },
-    Timer { token: u64 },
-    Probed { srv: u32, how: Outcome, took: Span, load: Vec<f32> },
-    Peer { from: u32, body: Vec<u8> },
-    Counted { name: u64, total: f64, how: Outcome },
+    Left {
+        id: u64,
+    },
+    Timer {
+        token: u64,
+    },
+    Probed {
+        srv: u32,
+        how: Outcome,
+        took: Span,
+        load: Vec<f32>,
+    },
+    Peer {
+        from: u32,
+        body: Vec<u8>,
+    },
+    Counted {
+        name: u64,
+        total: f64,
+        how: Outcome,
+    },
+    /// Other terms from here on; frontends and plans keep their places, new ones come behind.
+    Terms(Box<Terms>),
 }
 
 #[derive(Clone, Debug, PartialEq)]
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -117,6 +117,8 @@
     pub leased: f64,
     pub ends: Point,
     pub target: Point,
+    /// Where it may go, a bit a zone.
+    pub zones: u64,
     pub stage: Stage,
     /// Counter answers still owed.
     pub verdicts: u8,
@@ -365,6 +367,7 @@
     pub amount: f64,
     pub units: f64,
     pub joins: Vec<(usize, u64, f64)>,
+    pub sent: Point,
 }
 
 /// Figures about srvs, in parallel arrays under a dense index.
@@ -425,6 +428,13 @@
         self.squeeze.resize(self.ready.len() * plans, 1.0);
         self.squeeze[i * plans..(i + 1) * plans].fill(1.0);
     }
+    /// Other plans: all figures by plan begin anew.
+    pub fn widen(&mut self, plans: usize) {
+        if self.plans != plans {
+            self.plans = plans;
+            self.squeeze = vec![1.0; self.ready.len() * plans];
+        }
+    }
     pub fn squeeze(&mut self, i: usize, plan: usize) -> &mut f64 {
         &mut self.squeeze[i * self.plans + plan]
     }
@@ -492,6 +502,10 @@
     pub(crate) full_frontend: Vec<f64>,
     pub(crate) late_share: f64,
     pub(crate) bad_share: f64,
+    /// Further dispatches that may go now.
+    pub(crate) further: f64,
+    /// Seconds that a call to the counter takes, smoothed.
+    pub(crate) slow: f64,
     pub(crate) second_at: Point,
     pub(crate) wakes: Wakes,
     pub(crate) armed: Option<Point>,
--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -38,7 +38,7 @@
     Ok(all.iter().map(|v| Part(v, key)).collect())
 }
 
-fn frontend(p: &Part) -> Result<Frontend, String> {
+fn frontend(p: &Part, max_dispatches: u32) -> Result<Frontend, String> {
     let effect = match p.word("effect")? {
         "repeatable" => Effect::Replayable,
         "by_key" => Effect::Uniqued,
@@ -60,6 +60,7 @@
         late_value: p.num("lateWorth")?,
         value: p.num("value")?,
         timeout: p.span("deadline")?,
+        max_dispatches,
     })
 }
 
@@ -130,13 +131,14 @@
 pub fn terms(seed: u64, v: &Value) -> Result<Terms, String> {
     let top = Part(v, "settings");
     let (limits, rules, fam) = (Part::of(v, "limits")?, Part::of(v, "rules")?, Part::of(v, "familyInfo")?);
+    let most = limits.num("maxAttempts")? as u32;
     Ok(Terms {
         seed,
         gateways: top.num("instances")? as usize,
         zone: top.num("locality")? as u16,
         zones: zones(v)?.len(),
         period: top.span("period")?,
-        frontends: list(v, "classes")?.iter().map(frontend).collect::<Result<_, _>>()?,
+        frontends: list(v, "classes")?.iter().map(|p| frontend(p, most)).collect::<Result<_, _>>()?,
         plans: list(v, "packages")?.iter().map(plan).collect::<Result<_, _>>()?,
         counter: fam.flag("sharedCounter")?,
         count_wait: fam.span("countWait")?,
@@ -145,7 +147,6 @@
         peers: limits.flag("peers")?,
         peer_intake: fam.num("peerIntake")?,
         ask_list: top.word("discovery")? == "on_request",
-        max_dispatches: limits.num("maxAttempts")? as u32,
         may_duplicate: limits.flag("mayDuplicate")?,
         may_cancel: limits.flag("mayCancel")?,
         may_hint: limits.flag("retryAfter")?,
@@ -155,5 +156,7 @@
         fall_multiple: rules.num("fallMultiple")?,
         fall_window: rules.span("tipAfter")?,
         marks_repeats: marks_repeats(v)?,
+        start_each: 3.0,
+        ..Terms::default()
     })
 }
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -49,6 +49,7 @@
         late_value: num(w, "late", 0.0),
         value: num(w, "value", 1.0),
         timeout: Span::from_secs(num(w, "timeout", 3.0)),
+        max_dispatches: 6,
     }
 }
 
@@ -81,7 +82,6 @@
         peers: num(w, "peers", 0.0) > 0.0,
         peer_intake: 60.0,
         ask_list: num(w, "ask", 0.0) > 0.0,
-        max_dispatches: 6,
         may_duplicate: num(w, "duplicate", 1.0) > 0.0,
         may_cancel: true,
         may_hint: num(w, "hint", 0.0) > 0.0,
@@ -91,6 +91,11 @@
         fall_multiple: 3.0,
         fall_window: Span::from_secs(2.0),
         marks_repeats: num(w, "marks", 1.0) > 0.0,
+        regions: key(w, "regions").map_or(Vec::new(), |r| r.bytes().map(|b| (b - b'0') as u16).collect()),
+        start_each: 3.0,
+        further: key(w, "further").map(|_| (num(w, "ratio", 0.2), num(w, "further", 0.0))),
+        cold_sends: key(w, "cold").map(|_| num(w, "cold", 0.0)),
+        patient: num(w, "patient", 0.0) > 0.0,
     }
 }
 
@@ -221,6 +226,7 @@
                 plan: num(w, "plan", 0.0) as usize,
                 spread: num(w, "spread", 2.0),
                 left: Span::from_secs(num(w, "left", 3.0)),
+                zones: num(w, "zones", u64::MAX as f64) as u64,
             }),
             "begun" => Event::Begun { id: w[1].parse().expect("an id"), nth: 0 },
             "peer" => {
--- a/watch/src/lib.rs
+++ b/watch/src/lib.rs
@@ -147,7 +147,7 @@
         let Some(r) = self.reqs.get_mut(&id) else { return };
         let f = self.terms.frontends[r.frontend];
         let (first, running) = (r.sent.is_empty(), r.sent.iter().any(|t| t.running));
-        let attempts = r.sent.len() >= self.terms.max_dispatches as usize;
+        let attempts = r.sent.len() >= f.max_dispatches as usize;
         let repeat = r.sent.iter().find(|t| t.ran).is_some_and(|t| !repeats(&f, t, srv, now, &self.places));
         r.sent.push(Sent { srv, at: now, running: true, ran: true });
         let (plan, units, customer, spread) = (r.plan, r.units, r.customer, r.spread);
--- a/watch/tests/kinds.rs
+++ b/watch/tests/kinds.rs
@@ -12,7 +12,8 @@
 fn terms(effect: Effect, change: impl FnOnce(&mut Terms)) -> Terms {
     let (target, timeout) = (Span::from_secs(1.0), Span::from_secs(3.0));
     let memory = Span::from_secs(2.0);
-    let f = Frontend { effect, group: Group::Zone, memory, target, late_value: 0.0, value: 1.0, timeout };
+    let (group, late_value, value, max_dispatches) = (Group::Zone, 0.0, 1.0, 3);
+    let f = Frontend { effect, group, memory, target, late_value, value, timeout, max_dispatches };
     let plan = Plan {
         rate: 0.0,
         burst: 0.0,
@@ -26,7 +27,6 @@
     let mut t = Terms {
         frontends: vec![f],
         plans: vec![plan],
-        max_dispatches: 3,
         may_duplicate: true,
         marks_repeats: true,
         may_hint: true,
@@ -47,7 +47,8 @@
 
 fn req(id: u64, repeat: bool) -> Event {
     let left = Span::from_secs(3.0);
-    Event::Req(NewReq { id, frontend: 0, repeat, units: 2.0, customer: 7, plan: 0, spread: 2.0, left })
+    let (units, customer, spread, zones) = (2.0, 7, 2.0, u64::MAX);
+    Event::Req(NewReq { id, frontend: 0, repeat, units, customer, plan: 0, spread, left, zones })
 }
 
 fn ended(id: u64, nth: u16, how: Outcome) -> Event {
@@ -65,7 +66,7 @@
 
 #[test]
 fn second_copies_and_attempts() {
-    let mut w = watch(Effect::Replayable, |t| (t.may_duplicate, t.max_dispatches) = (false, 2));
+    let mut w = watch(Effect::Replayable, |t| (t.may_duplicate, t.frontends[0].max_dispatches) = (false, 2));
     w.events(at(0.1), &[req(1, false)]);
     w.actions(at(0.1), &[send(1, 1)]);
     w.actions(at(0.4), &[send(1, 2)]);
@@ -94,7 +95,7 @@
 
 #[test]
 fn a_uniqued_req_stays_in_its_zone_and_memory() {
-    let mut w = watch(Effect::Uniqued, |t| t.max_dispatches = 9);
+    let mut w = watch(Effect::Uniqued, |t| t.frontends[0].max_dispatches = 9);
     w.events(at(0.1), &[req(1, false)]);
     w.actions(at(0.1), &[send(1, 1)]);
     w.events(at(0.2), &[ended(1, 0, Error)]);
