comb: sockets, client and server sides and the exchange move into a shared part

Cause: the system's data plane speaks another wire but handles connections, framing, descriptors and rounds of the decisions in the same way; nothing is to be written twice. Change: generic over a Wire (what goes on, what comes back), Answering (how a request is read and answered) and ServerWire (how a dispatch is written and its answer read). Bounds that were constants are settings of each program. The gateway keeps its wire, counter, discovery, start and configuration.

--- a/gateway/src/program/clock.rs
+++ b/comb/src/clock.rs
@@ -3,6 +3,7 @@
 use lupinledge::time::{Point, Span};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// Copies go on from the same reading.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     unix: Duration,
@@ -10,10 +11,16 @@
 }
 
 impl Clock {
+    /// Reads the system's clock, once.
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { unix, at: Instant::now() }
     }
+    /// A clock that shows so many seconds now.
+    pub fn showing(secs: f64) -> Clock {
+        Clock { unix: Duration::from_secs_f64(secs.clamp(0.0, 1e12)), at: Instant::now() }
+    }
+    /// Unix time.
     pub fn now(&self) -> Point {
         Point::from_secs((self.unix + self.at.elapsed()).as_secs_f64())
     }
--- a/gateway/src/program/counters.rs
+++ b/comb/src/counters.rs
@@ -1,17 +1,22 @@
 //! What was taken in, sent and answered, counted by outcome; printed on SIGUSR1 and at exit.
 
 use lupinledge::link::Outcome;
-use lupinledge_watch::Kind;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 
+/// A number that only grows.
 #[derive(Default)]
 pub struct Count(Cell<u64>);
 
 impl Count {
+    /// One more.
     pub fn up(&self) {
         self.0.set(self.0.get() + 1);
     }
+    /// The number so far.
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
 }
 
 /// One count by outcome.
@@ -22,6 +27,7 @@
     ["passed", "error", "full", "timed_out", "no_connection", "reset", "cancelled", "not_sent"];
 
 impl ByOutcome {
+    /// One more that ended so.
     pub fn up(&self, how: Outcome) {
         let i = match how {
             Outcome::Passed => 0,
@@ -37,23 +43,32 @@
     }
 }
 
+/// All counts of one program, shown as one line of `name=number`.
 #[derive(Default)]
 pub struct Counters {
+    /// Reqs that the exchange took.
     pub taken: Count,
+    /// Reqs refused before that, which the client side counts.
     pub malformed: Count,
+    /// Final answers, by kind; a failure that a srv told counts as aborted.
     pub passed: Count,
     pub denied: Count,
     pub aborted: Count,
+    /// Reqs whose client left before the answer.
     pub left: Count,
+    /// Dispatches decided on, and how they ended.
     pub dispatches: Count,
     pub dispatch: ByOutcome,
+    /// Calls to the counter, and how they ended.
     pub counter_calls: Count,
     pub counter_call: ByOutcome,
+    /// Connections taken from clients, and tried to srvs.
     pub client_connections: Count,
     pub srv_connections: Count,
+    /// Rounds of the decisions.
     pub rounds: Count,
-    /// By kind, what terms to come would have decided otherwise, where the program watches for them.
-    pub watched: Cell<[u64; Kind::ALL.len()]>,
+    /// Counts that the program adds by name, printed after the others in their order.
+    pub further: RefCell<Vec<(String, u64)>>,
 }
 
 impl fmt::Display for Counters {
@@ -80,8 +95,8 @@
                 write!(f, " {kind}.{name}={}", n.0.get())?;
             }
         }
-        for (kind, n) in Kind::ALL.iter().zip(self.watched.get()) {
-            write!(f, " watch.{}={n}", kind.name())?;
+        for (name, n) in self.further.borrow().iter() {
+            write!(f, " {name}={n}")?;
         }
         Ok(())
     }
--- a/gateway/src/routing/exchange.rs
+++ b/comb/src/exchange.rs
@@ -1,88 +1,110 @@
 //! Where client side and server side meet. The exchange turns what either side reports into events, plays all
 //! events of one wakeup as one round of the decisions, and carries the actions out on the other side.
 
-use super::ids::Ids;
-use crate::program::clock::Clock;
-use crate::program::counters::Counters;
-use bytes::Bytes;
-use hyper::header::HeaderValue;
-use hyper::{Method, Uri};
+use crate::clock::Clock;
+use crate::counters::Counters;
+use crate::ids::Ids;
 use lupinledge::control::Control;
 use lupinledge::link::{Action, Ended, Event, ListKind, NewReq, Outcome, SrvRow, SrvState, Terms};
 use lupinledge::time::{Point, Span};
-use lupinledge_watch::{Kind, Watch};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use tokio::sync::{oneshot, Notify};
 
-/// What goes on from the client to a srv, as it came.
-pub struct Carried {
-    pub method: Method,
-    pub uri: Uri,
-    pub id: HeaderValue,
-    pub key: Option<HeaderValue>,
-    pub body: Bytes,
-}
-
-/// What a srv made for a req.
-#[derive(Debug)]
-pub struct Made {
-    pub kind: Option<HeaderValue>,
-    pub body: Bytes,
+/// What one wire towards clients and servers has of its own.
+pub trait Wire: 'static {
+    /// What goes on from the client to a srv.
+    type Carried: 'static;
+    /// What a srv made for a req.
+    type Made: 'static;
 }
 
 /// The final answer to a req.
-#[derive(Debug)]
-pub enum Answer {
-    Passed(Made),
+pub enum Answer<W: Wire> {
+    /// What a srv made.
+    Passed(W::Made),
+    /// No srv passed it; what the last of those that answered all the same said of it.
+    Failed(W::Made),
+    /// Not run, with a hint when to come back; zero is none.
     Denied(Span),
+    /// It may have run, and nothing is known of it.
     Aborted,
 }
 
 /// One dispatch, for the server side.
-pub struct Dispatch {
+pub struct Dispatch<W: Wire> {
+    /// The req's id, as the exchange gave it.
     pub req: u64,
+    /// Which of its req's dispatches it is, from 0.
     pub nth: u16,
+    /// The srv's index.
     pub srv: u32,
+    /// The srv's outside name.
+    pub name: Rc<str>,
+    /// The srv's address by the last list.
     pub addr: SocketAddr,
+    /// When it has to be over.
     pub until: Point,
-    pub carried: Rc<Carried>,
+    /// Shared with its req's other dispatches.
+    pub carried: Rc<W::Carried>,
 }
 
-/// How a dispatch ended; with `Passed` what the srv made, and its billed units or zero.
-pub struct Back {
+/// How a dispatch ended.
+pub struct Back<W: Wire> {
+    /// By how far it came: whether it may have run is told by this alone.
     pub how: Outcome,
-    pub made: Option<Made>,
+    /// With `Passed` what the srv made, with any other outcome its own answer that tells of the failure, if it
+    /// is one that the client may get.
+    pub made: Option<W::Made>,
+    /// Its billed units, or zero.
     pub billed: f64,
+    /// What the srv told of its load, for the decisions; may be empty.
+    pub load: Vec<f32>,
 }
 
-impl Back {
-    pub fn bare(how: Outcome) -> Back {
-        Back { how, made: None, billed: 0.0 }
+impl<W: Wire> Back<W> {
+    /// An end that tells nothing more.
+    pub fn bare(how: Outcome) -> Back<W> {
+        Back { how, made: None, billed: 0.0, load: Vec::new() }
     }
 }
 
 /// Stops a dispatch when called: closes its connection, reports nothing.
 pub type Stop = Box<dyn FnOnce()>;
 
-pub trait ServerSide {
-    fn send(&self, d: Dispatch) -> Stop;
+/// What takes dispatches to srvs.
+pub trait ServerSide<W: Wire> {
+    /// Sends a dispatch; its end comes to [`Exchange::ended`], later than this call, unless it is stopped.
+    fn send(&self, d: Dispatch<W>) -> Stop;
     /// Closes the idle connections to a srv.
     fn close_idle(&self, srv: u32);
 }
 
+/// What takes calls to the counter.
 pub trait CounterSide {
+    /// Adds to a name's total, which is kept for `life`; the answer comes to [`Exchange::counted`].
     fn add(&self, name: u64, amount: f64, life: Span);
     /// All calls of a round are there.
     fn flush(&self);
 }
 
+/// Shown the events and actions of each round; changes neither.
+pub trait Observer {
+    /// Before the decisions play them.
+    fn events(&mut self, now: Point, events: &[Event]);
+    /// Before they are carried out.
+    fn actions(&mut self, now: Point, actions: &[Action]);
+}
+
 /// A srv's entry in the list, by its outside name.
 pub struct Entry {
+    /// By it the exchange knows the srv again.
     pub name: String,
+    /// Where it takes connections.
     pub addr: SocketAddr,
+    /// The rest, for the decisions; the index in it is the exchange's to fill.
     pub row: SrvRow,
 }
 
@@ -92,15 +114,17 @@
     stop: Stop,
 }
 
-struct Open {
-    answer: Option<oneshot::Sender<Answer>>,
-    carried: Rc<Carried>,
+struct Open<W: Wire> {
+    answer: Option<oneshot::Sender<Answer<W>>>,
+    carried: Rc<W::Carried>,
+    /// The last srv's own answer that tells of a failure.
+    failed: Option<W::Made>,
     ends: Point,
     tries: Vec<Option<Out>>,
 }
 
 struct Srv {
-    name: String,
+    name: Rc<str>,
     addr: SocketAddr,
     takes_new: bool,
     listed: bool,
@@ -115,20 +139,21 @@
 #[derive(Default)]
 struct Srvs {
     by_index: HashMap<u32, Srv>,
-    by_name: HashMap<String, u32>,
+    by_name: HashMap<Rc<str>, u32>,
     given: u32,
 }
 
 impl Srvs {
     /// A new srv at the address of another one has started since, whatever the list says of its start.
     fn enter(&mut self, e: &Entry, now: Point) -> u32 {
-        if let Some(&i) = self.by_name.get(&e.name) {
+        if let Some(&i) = self.by_name.get(e.name.as_str()) {
             return i;
         }
         let follows = self.by_index.values().any(|s| s.addr == e.addr);
         self.given += 1;
-        self.by_name.insert(e.name.clone(), self.given);
-        let (name, addr, born) = (e.name.clone(), e.addr, Some(now).filter(|_| follows));
+        let name: Rc<str> = e.name.as_str().into();
+        self.by_name.insert(name.clone(), self.given);
+        let (addr, born) = (e.addr, Some(now).filter(|_| follows));
         self.by_index.insert(self.given, Srv { name, addr, takes_new: false, listed: false, born, out: 0 });
         self.given
     }
@@ -154,14 +179,17 @@
     }
 }
 
-pub struct Exchange {
+/// The meeting of both sides; see the module.
+pub struct Exchange<W: Wire> {
+    /// The time that all points are by.
     pub clock: Clock,
+    /// Shared with both sides.
     pub counters: Rc<Counters>,
-    terms: Terms,
+    terms: RefCell<Rc<Terms>>,
     control: RefCell<Control>,
-    watch: RefCell<Option<Watch>>,
+    observer: RefCell<Option<Box<dyn Observer>>>,
     events: RefCell<Vec<Event>>,
-    open: RefCell<HashMap<u64, Open>>,
+    open: RefCell<HashMap<u64, Open<W>>>,
     /// Reqs that may be over; looked at when a round's actions are done.
     done: RefCell<Vec<u64>>,
     taken: Cell<u64>,
@@ -172,37 +200,39 @@
     timer: Cell<Option<Point>>,
     woken: Notify,
     answered: Notify,
-    server_side: RefCell<Option<Rc<dyn ServerSide>>>,
+    server_side: RefCell<Option<Rc<dyn ServerSide<W>>>>,
     counter_side: RefCell<Option<Rc<dyn CounterSide>>>,
 }
 
 /// A req that waits for its final answer; dropped before that, its client has left.
-pub struct Ticket {
+pub struct Ticket<W: Wire> {
     id: u64,
-    exchange: Rc<Exchange>,
-    answer: oneshot::Receiver<Answer>,
+    exchange: Rc<Exchange<W>>,
+    answer: oneshot::Receiver<Answer<W>>,
 }
 
-impl Ticket {
-    pub async fn answer(mut self) -> Answer {
+impl<W: Wire> Ticket<W> {
+    /// Waits for the final answer.
+    pub async fn answer(mut self) -> Answer<W> {
         (&mut self.answer).await.unwrap_or(Answer::Aborted)
     }
 }
 
-impl Drop for Ticket {
+impl<W: Wire> Drop for Ticket<W> {
     fn drop(&mut self) {
         self.exchange.left(self.id);
     }
 }
 
-impl Exchange {
-    pub fn new(terms: Terms, clock: Clock, counters: Rc<Counters>) -> Rc<Exchange> {
+impl<W: Wire> Exchange<W> {
+    /// One with neither side yet, see [`Exchange::attach`].
+    pub fn new(terms: Terms, clock: Clock, counters: Rc<Counters>) -> Rc<Exchange<W>> {
         Rc::new(Exchange {
             clock,
             counters,
             control: RefCell::new(Control::new(terms.clone())),
-            watch: RefCell::default(),
-            terms,
+            observer: RefCell::new(None),
+            terms: RefCell::new(Rc::new(terms)),
             events: RefCell::default(),
             open: RefCell::default(),
             done: RefCell::default(),
@@ -219,18 +249,31 @@
         })
     }
 
-    /// Shows all rounds from now on to a watch of terms to come.
-    pub fn watch(&self, terms: Terms) {
-        *self.watch.borrow_mut() = Some(Watch::new(terms));
+    /// Shows all rounds from now on.
+    pub fn observe(&self, observer: Box<dyn Observer>) {
+        *self.observer.borrow_mut() = Some(observer);
     }
 
-    pub fn attach(&self, server: Rc<dyn ServerSide>, counter: Option<Rc<dyn CounterSide>>) {
+    /// Gives it its server side, and a counter if there is one; without, each call fails at once.
+    pub fn attach(&self, server: Rc<dyn ServerSide<W>>, counter: Option<Rc<dyn CounterSide>>) {
         *self.server_side.borrow_mut() = Some(server);
         *self.counter_side.borrow_mut() = counter;
     }
 
-    pub fn terms(&self) -> &Terms {
-        &self.terms
+    /// The terms in force.
+    pub fn terms(&self) -> Rc<Terms> {
+        self.terms.borrow().clone()
+    }
+
+    /// Other terms are in force from here on; the decisions hear of them in the order of all events.
+    pub fn change(&self, terms: Terms) {
+        *self.terms.borrow_mut() = Rc::new(terms.clone());
+        self.tell(Event::Terms(Box::new(terms)));
+    }
+
+    /// Reqs that have no final answer yet.
+    pub fn unanswered(&self) -> usize {
+        self.unanswered.get()
     }
 
     /// Whether any list of srvs is there.
@@ -240,12 +283,12 @@
 
     /// Whether an id from outside was not had while a req under it could be open.
     pub fn first_seen(&self, id: &[u8]) -> bool {
-        let longest = self.terms.frontends.iter().map(|f| f.timeout.secs()).fold(0.0, f64::max);
+        let longest = self.terms.borrow().frontends.iter().map(|f| f.timeout.secs()).fold(0.0, f64::max);
         self.ids.borrow_mut().enter(id, self.clock.now().secs(), longest)
     }
 
     /// A req from the client side; ids from outside stop here.
-    pub fn take(self: &Rc<Exchange>, mut req: NewReq, carried: Carried) -> Ticket {
+    pub fn take(self: &Rc<Self>, mut req: NewReq, carried: W::Carried) -> Ticket<W> {
         let id = self.taken.get() + 1;
         self.taken.set(id);
         req.id = id;
@@ -253,7 +296,8 @@
         self.unanswered.set(self.unanswered.get() + 1);
         let (answer, wait) = oneshot::channel();
         let ends = self.clock.now() + req.left;
-        let open = Open { answer: Some(answer), carried: Rc::new(carried), ends, tries: Vec::new() };
+        let (answer, carried) = (Some(answer), Rc::new(carried));
+        let open = Open { answer, carried, failed: None, ends, tries: Vec::new() };
         self.open.borrow_mut().insert(id, open);
         self.tell(Event::Req(req));
         Ticket { id, exchange: self.clone(), answer: wait }
@@ -281,12 +325,12 @@
         }
     }
 
-    fn answer(&self, id: u64, answer: Answer) {
+    fn answer(&self, id: u64, answer: Answer<W>) {
         let Some(to) = self.open.borrow_mut().get_mut(&id).and_then(|o| o.answer.take()) else { return };
         match answer {
             Answer::Passed(_) => self.counters.passed.up(),
             Answer::Denied(_) => self.counters.denied.up(),
-            Answer::Aborted => self.counters.aborted.up(),
+            Answer::Failed(_) | Answer::Aborted => self.counters.aborted.up(),
         }
         let _ = to.send(answer);
         self.settled();
@@ -305,7 +349,7 @@
 
     /// Asked before a dispatch's first byte, which may come long after it was sent for: a connection has to
     /// come up first, and meanwhile the req may have ended or its srv begun to drain.
-    pub fn may_begin(&self, d: &Dispatch) -> bool {
+    pub fn may_begin(&self, d: &Dispatch<W>) -> bool {
         let asked = self.open.borrow().get(&d.req).is_some_and(|o| o.answer.is_some());
         let takes_new = self.srvs.borrow().by_index.get(&d.srv).is_some_and(|s| s.takes_new);
         asked && takes_new && self.clock.now() < d.until
@@ -317,21 +361,28 @@
     }
 
     /// The end of a dispatch, from the server side.
-    pub fn ended(&self, req: u64, nth: u16, back: Back) {
+    pub fn ended(&self, req: u64, nth: u16, back: Back<W>) {
         let out = self.open.borrow_mut().get_mut(&req).and_then(|o| o.tries.get_mut(nth as usize)?.take());
         let Some(out) = out else { return };
         self.srvs.borrow_mut().back(out.srv);
         self.counters.dispatch.up(back.how);
-        if let Some(made) = back.made {
-            self.answer(req, Answer::Passed(made));
+        match back.made {
+            Some(made) if back.how == Outcome::Passed => self.answer(req, Answer::Passed(made)),
+            Some(made) => {
+                if let Some(o) = self.open.borrow_mut().get_mut(&req) {
+                    o.failed = Some(made);
+                }
+            }
+            None => {}
         }
         let closed = self.open.borrow().get(&req).is_none_or(|o| o.answer.is_none());
         let took = self.clock.now() - out.sent;
         let end = Ended { id: req, nth, how: back.how, took, closed, billed: back.billed };
-        self.tell(Event::Ended(end, Vec::new()));
+        self.tell(Event::Ended(end, back.load));
         self.done.borrow_mut().push(req);
     }
 
+    /// The end of a counter's call, from the counter side: with `Passed` the name's new total.
     pub fn counted(&self, name: u64, total: f64, how: Outcome) {
         self.counters.counter_call.up(how);
         self.tell(Event::Counted { name, total, how });
@@ -371,7 +422,7 @@
 
     /// Plays rounds for good. All that one wakeup of the program brought is there when this task has its
     /// turn, since it was put behind the tasks that were woken with the one that told it.
-    pub async fn drive(self: Rc<Exchange>) {
+    pub async fn drive(self: Rc<Self>) {
         loop {
             match self.timer.get() {
                 None => self.woken.notified().await,
@@ -393,16 +444,15 @@
         }
     }
 
-    fn round(self: &Rc<Exchange>, now: Point, events: Vec<Event>) {
+    fn round(&self, now: Point, events: Vec<Event>) {
         self.counters.rounds.up();
         let mut actions = Vec::new();
-        if let Some(w) = &mut *self.watch.borrow_mut() {
-            w.events(now, &events);
+        if let Some(o) = &mut *self.observer.borrow_mut() {
+            o.events(now, &events);
         }
         self.control.borrow_mut().round(now, events, &mut actions);
-        if let Some(w) = &mut *self.watch.borrow_mut() {
-            w.actions(now, &actions);
-            self.counters.watched.set(Kind::ALL.map(|k| w.count(k)));
+        if let Some(o) = &mut *self.observer.borrow_mut() {
+            o.actions(now, &actions);
         }
         for action in actions {
             match action {
@@ -412,7 +462,8 @@
                     self.done.borrow_mut().push(id);
                 }
                 Action::Abort { id } => {
-                    self.answer(id, Answer::Aborted);
+                    let failed = self.open.borrow_mut().get_mut(&id).and_then(|o| o.failed.take());
+                    self.answer(id, failed.map_or(Answer::Aborted, Answer::Failed));
                     self.done.borrow_mut().push(id);
                 }
                 Action::Cancel { id, nth } => self.cancel(id, nth),
@@ -438,14 +489,14 @@
         self.forget_done();
     }
 
-    fn dispatch(self: &Rc<Exchange>, now: Point, id: u64, srv: u32, limit: Span) {
+    fn dispatch(&self, now: Point, id: u64, srv: u32, limit: Span) {
         self.counters.dispatches.up();
         let mut open = self.open.borrow_mut();
         let Some(o) = open.get_mut(&id) else { return };
         let server = self.server_side.borrow().clone();
-        let addr = self.srvs.borrow_mut().by_index.get_mut(&srv).map(|s| {
+        let to = self.srvs.borrow_mut().by_index.get_mut(&srv).map(|s| {
             s.out += 1;
-            s.addr
+            (s.name.clone(), s.addr)
         });
         let nth = o.tries.len() as u16;
         let until = if limit == Span::ZERO { o.ends } else { o.ends.min(now + limit) };
@@ -453,10 +504,10 @@
         o.tries.push(Some(Out { srv, sent: now, stop: Box::new(|| {}) }));
         drop(open);
         // each dispatch has its end, also one to a srv that is gone or for a req that is over
-        let (Some(addr), Some(server), true) = (addr, server, asked) else {
+        let (Some((name, addr)), Some(server), true) = (to, server, asked) else {
             return self.ended(id, nth, Back::bare(Outcome::NotSent));
         };
-        let stop = server.send(Dispatch { req: id, nth, srv, addr, until, carried });
+        let stop = server.send(Dispatch { req: id, nth, srv, name, addr, until, carried });
         if let Some(Some(out)) =
             self.open.borrow_mut().get_mut(&id).and_then(|o| o.tries.get_mut(nth as usize))
         {
@@ -480,30 +531,38 @@
 }
 
 /// For the sides, which the exchange owns.
-pub type Meeting = Weak<Exchange>;
+pub type Meeting<W> = Weak<Exchange<W>>;
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use lupinledge::link::Effect;
+
+    struct Words;
+
+    impl Wire for Words {
+        type Carried = ();
+        type Made = &'static str;
+    }
 
     /// A server side that leaves each dispatch open.
     struct Srvs;
 
-    impl ServerSide for Srvs {
-        fn send(&self, _: Dispatch) -> Stop {
+    impl ServerSide<Words> for Srvs {
+        fn send(&self, _: Dispatch<Words>) -> Stop {
             Box::new(|| {})
         }
         fn close_idle(&self, _: u32) {}
     }
 
-    fn play(x: &Rc<Exchange>) {
+    fn play(x: &Exchange<Words>) {
         let events = std::mem::take(&mut *x.events.borrow_mut());
         x.round(x.clock.now(), events);
     }
 
-    fn exchange() -> Rc<Exchange> {
+    fn exchange() -> Rc<Exchange<Words>> {
         let v: serde_json::Value =
-            serde_json::from_str(include_str!("../../../example/config.json")).expect("JSON");
+            serde_json::from_str(include_str!("../../example/config.json")).expect("JSON");
         let terms = lupinledge_terms::terms(1, &v["settings"]).expect("terms");
         let x = Exchange::new(terms, Clock::start(), Rc::default());
         x.attach(Rc::new(Srvs), None);
@@ -515,12 +574,10 @@
         Entry { name: name.to_string(), addr: ([127, 0, 0, 1], port).into(), row }
     }
 
-    fn take(x: &Rc<Exchange>) -> Ticket {
-        let (left, uri) = (Span::from_secs(1.0), Uri::from_static("/quote"));
-        let id = HeaderValue::from_static("1");
-        let new =
-            NewReq { id: 0, frontend: 0, repeat: false, units: 1.0, customer: 1, plan: 2, spread: 1.0, left };
-        x.take(new, Carried { method: Method::GET, uri, id, key: None, body: Bytes::new() })
+    fn take(x: &Rc<Exchange<Words>>) -> Ticket<Words> {
+        let left = Span::from_secs(1.0);
+        let (repeat, units, customer, plan, spread, zones) = (false, 1.0, 1, 2, 1.0, u64::MAX);
+        x.take(NewReq { id: 0, frontend: 0, repeat, units, customer, plan, spread, left, zones }, ())
     }
 
     /// Srvs replaced all day by new ones at the same address leave nothing behind, except where a dispatch is
@@ -542,7 +599,7 @@
             assert_eq!(born, [(n as u32, n > 1), (n as u32 + 1, true)]);
             play(&x);
         }
-        let kept = |x: &Exchange| (x.srvs.borrow().by_index.len(), x.srvs.borrow().by_name.len());
+        let kept = |x: &Exchange<Words>| (x.srvs.borrow().by_index.len(), x.srvs.borrow().by_name.len());
         assert_eq!(kept(&x), (2, 2), "the last, and the first, where a dispatch is out");
         assert!(x.srvs.borrow().by_index.contains_key(&1));
         x.ended(1, 0, Back::bare(Outcome::Error));
@@ -569,4 +626,28 @@
         );
         assert!(x.open.borrow().is_empty());
     }
+
+    /// Where no dispatch passes, the client gets the answer that told of a failure, and a mere abort where there
+    /// was none. Terms changed before the req hold for it.
+    #[test]
+    fn a_failure_told_is_the_answer() {
+        for told in [Some("made no sense"), None] {
+            let x = exchange();
+            x.list(ListKind::Full, vec![entry("a", 1, SrvState::Ready)]);
+            let mut terms = (*x.terms()).clone();
+            terms.frontends[0].effect = Effect::NonReplayable;
+            x.change(terms);
+            let mut ticket = take(&x);
+            assert_eq!(x.unanswered(), 1);
+            play(&x);
+            x.ended(1, 0, Back { made: told, ..Back::bare(Outcome::Error) });
+            play(&x);
+            match ticket.answer.try_recv() {
+                Ok(Answer::Failed(made)) => assert_eq!(Some(made), told),
+                Ok(Answer::Aborted) => assert_eq!(None, told),
+                _ => panic!("passed, denied or not answered"),
+            }
+            assert_eq!((x.unanswered(), x.terms().frontends[0].effect), (0, Effect::NonReplayable));
+        }
+    }
 }
--- a/gateway/src/program/logger.rs
+++ b/comb/src/logger.rs
@@ -45,6 +45,7 @@
     }
 }
 
+/// Makes this the process's log, from level info on; does nothing more where there is one.
 pub fn start() {
     let (to, lines) = sync_channel(4096);
     std::thread::spawn(move || {
--- /dev/null
+++ b/comb/src/srvs.rs
@@ -0,0 +1,348 @@
+//! Srvs: one req at a time on a connection, connections kept and used again, the last used first.
+
+use crate::clock::duration;
+use crate::exchange::{Back, Dispatch, Exchange, Meeting, ServerSide, Stop, Wire};
+use crate::transport::counted::{at_rest, Counted, Meter, Rest};
+use crate::transport::descriptors::{Place, Share};
+use crate::transport::dial::dial;
+use crate::transport::ending::{Ending, Why};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::{HeaderMap, HeaderName, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use lupinledge::link::Outcome;
+use lupinledge::time::Span;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::Instant;
+use tower::{Service, ServiceExt};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// What one wire says to srvs and hears from them.
+pub trait ServerWire: Wire + Sized {
+    /// The req of a dispatch, which has so much time left. Of the headers, `Host` and the body's length are to
+    /// be there; HTTP/1.1 has nothing else to add.
+    fn message(&self, d: &Dispatch<Self>, left: Span) -> Request<Full<Bytes>>;
+    /// What an answer says, and whether its connection may be used again.
+    fn read(&self, d: &Dispatch<Self>, answer: Response<Bytes>) -> (Back<Self>, bool);
+}
+
+/// What bounds the connections to srvs.
+#[derive(Clone, Copy, Debug)]
+pub struct SrvBounds {
+    /// For a connection to come up.
+    pub connect_wait: Duration,
+    /// The longest that a srv may be taken to keep an idle connection, less what the network may take: what
+    /// crosses its closing may have run. It is closed here after seven eighths of that.
+    pub idle_most: Duration,
+    /// Whether the `Keep-Alive: timeout` of an answer, in whole seconds, less `connect_wait`, bounds it further.
+    pub keep_alive: bool,
+    /// A connection is used again after so long a rest: what belongs to no answer comes right behind one, and
+    /// then shows before a req is written.
+    pub rest: Duration,
+    /// An answer that has begun is there whole within so long, or its srv has lost the thread.
+    pub whole_within: Duration,
+    /// The longest body of an answer, in bytes.
+    pub largest_body: usize,
+    /// Bytes for heads, those told ahead included, and for the framing of chunks; 8 KiB at the least.
+    pub largest_heads: usize,
+    /// See `dial`.
+    pub unacked: Option<Duration>,
+}
+
+/// An open connection. Dropped, it is closed.
+struct Link {
+    send: SendRequest<Full<Bytes>>,
+    stream: Rc<TcpStream>,
+    meter: Rc<Meter>,
+    ending: Rc<Ending>,
+    task: AbortHandle,
+    used: Instant,
+    /// For how long it may be idle by its srv's last answer.
+    idle_most: Option<Duration>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        if !self.send.is_closed() {
+            self.ending.because(Why::Cancelled);
+        }
+        self.task.abort();
+    }
+}
+
+/// All connections to srvs; the exchange's server side.
+pub struct Srvs<W: ServerWire> {
+    exchange: Meeting<W>,
+    wire: W,
+    places: Rc<Share>,
+    bounds: Cell<SrvBounds>,
+    /// Those that wait for a req, by srv: a new srv at an old address has none of its predecessor's.
+    idle: RefCell<HashMap<u32, Vec<Link>>>,
+    me: Weak<Srvs<W>>,
+}
+
+impl<W: ServerWire> Srvs<W> {
+    /// With no connection yet; each one takes one of `places`.
+    pub fn new(exchange: &Rc<Exchange<W>>, wire: W, bounds: SrvBounds, places: Rc<Share>) -> Rc<Srvs<W>> {
+        let srvs = Rc::new_cyclic(|me| Srvs {
+            exchange: Rc::downgrade(exchange),
+            wire,
+            places,
+            bounds: Cell::new(bounds),
+            idle: RefCell::default(),
+            me: me.clone(),
+        });
+        tokio::task::spawn_local(srvs.clone().sweep());
+        srvs
+    }
+
+    /// Other bounds hold from here on; the largest heads, and what is asked of the machine, for new connections.
+    pub fn bound(&self, bounds: SrvBounds) {
+        self.bounds.set(bounds);
+    }
+
+    /// Closes connections that have been idle for as long as they may.
+    async fn sweep(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep((self.bounds.get().idle_most / 8).max(Duration::from_millis(50))).await;
+            let now = Instant::now();
+            self.idle.borrow_mut().retain(|_, links| {
+                links.retain(|l| !l.send.is_closed() && !self.spent(l, now));
+                !links.is_empty()
+            });
+        }
+    }
+
+    fn spent(&self, l: &Link, now: Instant) -> bool {
+        let most = self.bounds.get().idle_most;
+        let most = l.idle_most.map_or(most, |by_srv| most.min(by_srv));
+        let spent = now.duration_since(l.used) >= most * 7 / 8;
+        if spent {
+            l.ending.because(Why::Idle);
+        }
+        spent
+    }
+
+    fn idle_link(&self, srv: u32, rest: Duration) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&srv)?;
+        let now = Instant::now();
+        loop {
+            let l = links.remove(links.iter().rposition(|l| now.duration_since(l.used) >= rest)?);
+            if l.send.is_closed() || self.spent(&l, now) {
+                continue;
+            }
+            match at_rest(&l.stream) {
+                Rest::Quiet => return Some(l),
+                Rest::Over => l.ending.because(Why::PeerClosed),
+                Rest::Stray => l.ending.because(Why::Stray),
+            }
+        }
+    }
+
+    /// With no place free, the connection that has been idle longest makes one.
+    fn place(&self) -> Option<Place> {
+        self.places.take().or_else(|| {
+            let mut idle = self.idle.borrow_mut();
+            let oldest = idle.iter().filter_map(|(a, l)| l.first().map(|l| (l.used, *a))).min()?.1;
+            idle.get_mut(&oldest)?.remove(0).ending.because(Why::Crowded);
+            None
+        })
+    }
+
+    async fn open(&self, addr: SocketAddr) -> Option<Link> {
+        let place = match self.place() {
+            Some(place) => place,
+            None => {
+                tokio::task::yield_now().await; // the closed one's task gives its place back
+                self.places.take()?
+            }
+        };
+        let bounds = self.bounds.get();
+        let ending = Ending::of("srv", addr);
+        if let Some(exchange) = self.exchange.upgrade() {
+            exchange.counters.srv_connections.up();
+        }
+        let stream = match dial(addr, bounds.connect_wait, bounds.unacked).await {
+            Ok(stream) => stream,
+            Err(e) => {
+                ending.because(Why::of_dial(&e));
+                return None;
+            }
+        };
+        let stream = Rc::new(stream);
+        let (counted, meter) = Counted::new(stream.clone());
+        let http = http1::Builder::new().max_buf_size(bounds.largest_heads).handshake(TokioIo::new(counted));
+        let (send, conn) = http.await.ok()?;
+        let noted = ending.clone();
+        let task = tokio::task::spawn_local(async move {
+            let end = conn.await;
+            noted.because(Why::of_http(&end));
+            drop((place, noted));
+        });
+        let (task, used) = (task.abort_handle(), Instant::now());
+        Some(Link { send, stream, meter, ending, task, used, idle_most: None })
+    }
+
+    fn keep(&self, srv: u32, mut l: Link) {
+        if !l.send.is_closed() && self.exchange.upgrade().is_some_and(|x| x.has(srv)) {
+            l.used = Instant::now();
+            self.idle.borrow_mut().entry(srv).or_default().push(l);
+        }
+    }
+
+    /// One dispatch, over connections until one takes its first byte.
+    async fn call(self: Rc<Self>, d: Dispatch<W>) -> Back<W> {
+        loop {
+            let bounds = self.bounds.get();
+            // the last used of those that have rested; one that has not, only where there is no place for more
+            let rest = if self.places.any() { bounds.rest } else { Duration::ZERO };
+            let reused = self.idle_link(d.srv, rest);
+            let fresh = reused.is_none();
+            let opened = match reused {
+                Some(l) => Some(l),
+                None => self.open(d.addr).await,
+            };
+            let Some(mut l) = opened else { return Back::bare(Outcome::NoConnection) };
+            if l.send.ready().await.is_err() {
+                if fresh {
+                    return Back::bare(Outcome::NoConnection);
+                }
+                continue;
+            }
+            let Some(exchange) = self.exchange.upgrade() else { return Back::bare(Outcome::NotSent) };
+            if !exchange.may_begin(&d) {
+                self.keep(d.srv, l);
+                return Back::bare(Outcome::NotSent);
+            }
+            let left = d.until - exchange.clock.now();
+            let message = self.wire.message(&d, left);
+            let body = message.body().size_hint().exact().unwrap_or_default() as usize;
+            l.meter.begin(body, bounds.largest_body + bounds.largest_heads);
+            let meter = l.meter.clone();
+            let answer = tokio::time::timeout(duration(left), async {
+                let answer = async {
+                    let answer = l.send.send_request(message).await.map_err(|_| ())?;
+                    let (head, body) = answer.into_parts();
+                    // what ends with its connection can't be told from what broke off
+                    if !bounded(&head.headers, &body, bounds.largest_body) {
+                        return Err(());
+                    }
+                    let body = Limited::new(body, bounds.largest_body).collect().await.map_err(|_| ())?;
+                    Ok::<_, ()>(Response::from_parts(head, body.to_bytes()))
+                };
+                let stalled = async {
+                    meter.answering().await;
+                    tokio::time::sleep(bounds.whole_within).await;
+                };
+                tokio::select! {
+                    biased;
+                    answer = answer => answer,
+                    _ = stalled => Err(()),
+                }
+            });
+            return match answer.await {
+                // one that came before its req was whole belongs to no req
+                Ok(Ok(answer)) if meter.whole() => {
+                    l.idle_most = keep_alive(answer.headers())
+                        .filter(|_| bounds.keep_alive)
+                        .map(|kept| kept.saturating_sub(bounds.connect_wait));
+                    let (back, again) = self.wire.read(&d, answer);
+                    if again {
+                        self.keep(d.srv, l);
+                    } else {
+                        l.ending.because(Why::ClosedHere);
+                    }
+                    back
+                }
+                Ok(Ok(_)) => Back::bare(Outcome::NoConnection),
+                Ok(Err(())) if !l.meter.started() && !fresh => continue, // idle, and closed by the srv
+                Ok(Err(())) if !l.meter.whole() => Back::bare(Outcome::NoConnection),
+                Ok(Err(())) => Back::bare(Outcome::Reset),
+                Err(_) => {
+                    l.ending.because(Why::TimedOut);
+                    Back::bare(if l.meter.whole() { Outcome::TimedOut } else { Outcome::NoConnection })
+                }
+            };
+        }
+    }
+}
+
+/// Whether an answer tells where it ends, in one way, and is not too long.
+fn bounded(headers: &HeaderMap, body: &Incoming, largest: usize) -> bool {
+    let coding = headers.get(TRANSFER_ENCODING);
+    match (coding, headers.contains_key(CONTENT_LENGTH)) {
+        (None, true) => body.size_hint().exact().is_some_and(|n| n <= largest as u64),
+        (Some(c), false) => c.as_bytes().eq_ignore_ascii_case(b"chunked"),
+        _ => false,
+    }
+}
+
+/// How long an answer says that its connection is kept.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let told = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let secs = told.split(',').find_map(|p| p.trim().strip_prefix("timeout")?.trim().strip_prefix('='));
+    Some(Duration::from_secs(secs?.trim().parse().ok()?))
+}
+
+impl<W: ServerWire> Service<Dispatch<W>> for Rc<Srvs<W>> {
+    type Response = Back<W>;
+    type Error = std::convert::Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Back<W>, Self::Error>>>>;
+
+    fn poll_ready(&mut self, _: &mut Context) -> Poll<Result<(), Self::Error>> {
+        Poll::Ready(Ok(()))
+    }
+    fn call(&mut self, d: Dispatch<W>) -> Self::Future {
+        let call = Srvs::call(self.clone(), d);
+        Box::pin(async move { Ok(call.await) })
+    }
+}
+
+impl<W: ServerWire> ServerSide<W> for Srvs<W> {
+    fn send(&self, d: Dispatch<W>) -> Stop {
+        let (Some(me), Some(exchange)) = (self.me.upgrade(), self.exchange.upgrade()) else {
+            return Box::new(|| {});
+        };
+        let (req, nth) = (d.req, d.nth);
+        let task = tokio::task::spawn_local(async move {
+            let Ok(back) = me.oneshot(d).await;
+            exchange.ended(req, nth, back);
+        });
+        Box::new(move || task.abort())
+    }
+    fn close_idle(&self, srv: u32) {
+        for l in self.idle.borrow_mut().remove(&srv).into_iter().flatten() {
+            l.ending.because(Why::ClosedHere);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::header::HeaderValue;
+    use test_case::test_case;
+
+    #[test_case("timeout=5" => Some(5))]
+    #[test_case("max=100, timeout = 2" => Some(2); "behind another one")]
+    #[test_case("timeout=0.5" => None; "no whole seconds")]
+    #[test_case("max=7" => None; "another one alone")]
+    fn kept_alive(told: &'static str) -> Option<u64> {
+        let headers = HeaderMap::from_iter([(KEEP_ALIVE, HeaderValue::from_static(told))]);
+        keep_alive(&headers).map(|kept| kept.as_secs())
+    }
+}
--- a/gateway/src/transport/counted.rs
+++ b/comb/src/transport/counted.rs
@@ -78,9 +78,11 @@
         self.room.set(left.unwrap_or(0));
         left.is_some()
     }
+    /// Whether any byte of the message is written.
     pub fn started(&self) -> bool {
         self.started.get()
     }
+    /// Whether its last byte is.
     pub fn whole(&self) -> bool {
         self.head_end.get() == HEAD_END.len() && self.body_left.get() == 0
     }
@@ -116,12 +118,14 @@
     }
 }
 
+/// The stream; shared with who looks into its buffer, see [`at_rest`].
 pub struct Counted {
     stream: Rc<TcpStream>,
     meter: Rc<Meter>,
 }
 
 impl Counted {
+    /// With the meter of what it writes and reads.
     pub fn new(stream: Rc<TcpStream>) -> (Counted, Rc<Meter>) {
         let meter = Rc::new(Meter::default());
         (Counted { stream, meter: meter.clone() }, meter)
--- a/gateway/src/transport/descriptors.rs
+++ b/comb/src/transport/descriptors.rs
@@ -16,14 +16,17 @@
 pub struct Place(Rc<Share>);
 
 impl Share {
+    /// With `all` places, all free.
     pub fn of(all: usize) -> Rc<Share> {
         Rc::new(Share { free: Cell::new(all), all })
     }
+    /// A place, if one is free.
     pub fn take(self: &Rc<Share>) -> Option<Place> {
         let left = self.free.get().checked_sub(1)?;
         self.free.set(left);
         Some(Place(self.clone()))
     }
+    /// Whether one is free.
     pub fn any(&self) -> bool {
         self.free.get() > 0
     }
--- a/gateway/src/transport/ending.rs
+++ b/comb/src/transport/ending.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::rc::Rc;
 
+/// The reasons; the code of each says what happened.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
     /// What held it was ended: a try no longer needed, or the program at its exit.
@@ -28,6 +29,7 @@
 }
 
 impl Why {
+    /// As the log has it.
     pub fn code(self) -> &'static str {
         match self {
             Why::Dropped => "dropped",
@@ -50,6 +52,7 @@
             Why::Unexpected => "unexpected",
         }
     }
+    /// Why there is no connection, by the error of `dial`.
     pub fn of_dial(e: &std::io::Error) -> Why {
         if e.kind() == std::io::ErrorKind::TimedOut {
             Why::ConnectTime
@@ -57,6 +60,7 @@
             Why::Refused
         }
     }
+    /// Why one ended by itself, by how hyper ended.
     pub fn of_http(end: &hyper::Result<()>) -> Why {
         match end {
             Ok(()) => Why::PeerClosed,
@@ -76,9 +80,11 @@
 }
 
 impl Ending {
+    /// Of a connection of that kind: `client`, `srv` or what else the program speaks to.
     pub fn of(kind: &'static str, peer: impl fmt::Display) -> Rc<Ending> {
         Rc::new(Ending { kind, peer: peer.to_string(), why: Cell::new(None), silenced: Cell::new(false) })
     }
+    /// Gives a reason.
     pub fn because(&self, why: Why) {
         self.why.set(self.why.get().or(Some(why)));
     }
--- a/gateway/src/transport/heads.rs
+++ b/comb/src/transport/heads.rs
@@ -121,6 +121,7 @@
 }
 
 impl<S> Followed<S> {
+    /// What `heads` say is to be looked at by another; one of its own for each connection.
     pub fn new(stream: S, heads: Rc<Heads>) -> Followed<S> {
         Followed { stream, heads }
     }
--- a/gateway/src/transport/listen.rs
+++ b/comb/src/transport/listen.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
+/// A listening socket with the places of its connections.
 pub struct Gate {
     listener: TcpListener,
     places: Rc<Share>,
@@ -21,6 +22,7 @@
         socket.bind(addr)?;
         Ok(Gate { listener: socket.listen(4096)?, places })
     }
+    /// Where it listens, with the port that the machine chose for port 0.
     pub fn addr(&self) -> std::io::Result<SocketAddr> {
         self.listener.local_addr()
     }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,10 +1,8 @@
-//! lupinledge on sockets. The layers, from the outside in: `program` starts and ends it, `transport` holds
-//! sockets, `protocol` speaks to each kind of peer, `routing` brings them together around the decisions.
+//! lupinledge on sockets: `program` starts and ends it, `protocol` speaks to each kind of peer. Sockets, connections
+//! and the exchange around the decisions are the crate `lupinledge_comb`'s.
 
 mod program;
 mod protocol;
-mod routing;
-mod transport;
 
 fn main() -> std::process::ExitCode {
     program::start::main()
--- a/gateway/src/program/start.rs
+++ b/gateway/src/program/start.rs
@@ -1,17 +1,22 @@
 //! The program from its start to its end.
 
-use super::clock::{duration, Clock};
-use super::counters::Counters;
 use super::signals::Signals;
 use super::told::Told;
-use super::{logger, told};
-use crate::protocol::client::Clients;
+use super::watched::Watched;
+use super::{told, watched};
+use crate::protocol::client::{self, Front};
 use crate::protocol::counter::{Counter, LANES};
 use crate::protocol::discovery::Discovery;
-use crate::protocol::srv::Srvs;
-use crate::routing::exchange::{CounterSide, Exchange};
-use crate::transport::descriptors::Share;
-use crate::transport::listen::Gate;
+use crate::protocol::srv::{self, Edge};
+use crate::protocol::Exchange;
+use lupinledge_comb::clients::Clients;
+use lupinledge_comb::clock::{duration, Clock};
+use lupinledge_comb::counters::Counters;
+use lupinledge_comb::exchange::CounterSide;
+use lupinledge_comb::logger;
+use lupinledge_comb::srvs::Srvs;
+use lupinledge_comb::transport::descriptors::Share;
+use lupinledge_comb::transport::listen::Gate;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,15 +53,17 @@
 
 async fn serve(told: Told) -> Result<(), String> {
     let (clock, counters) = (Clock::start(), Rc::new(Counters::default()));
+    watched::enter(&counters);
     let mut signals = Signals::hold(counters.clone()).map_err(|e| format!("signals: {e}"))?;
     // a quarter to the server side: a req out there holds a client's connection here for longer
     let (srv_places, client_places) = ((told.sockets - OWN) / 4, (told.sockets - OWN) * 3 / 4);
     let exchange = Exchange::new(told.terms.clone(), clock, counters.clone());
     if let Some(to_come) = told.watch {
         log::info!("watching for settings to come: decided as before, counted as watch.*");
-        exchange.watch(to_come);
+        exchange.observe(Box::new(Watched::new(to_come, counters.clone())));
     }
-    let srvs = Srvs::new(&exchange, &told.outside, Share::of(srv_places));
+    let wire = Edge { largest: told.terms.largest };
+    let srvs = Srvs::new(&exchange, wire, srv::bounds(&told.outside), Share::of(srv_places));
     let connect_wait = duration(told.outside.connect_wait);
     let counter = told.counter.map(|a| Counter::start(&exchange, a, told.terms.count_wait, connect_wait));
     exchange.attach(srvs, counter.clone().map(|c| c as Rc<dyn CounterSide>));
@@ -67,7 +74,8 @@
     let places = Share::of(client_places);
     let gate = Gate::open(told.listen, places.clone());
     let gate = gate.map_err(|e| format!("`listen`: {}: {e}", told.listen))?;
-    let clients = Clients::start(exchange.clone(), told.outside);
+    let front = Front::new(exchange.clone(), told.outside);
+    let clients = Clients::start(front.clone(), counters.clone(), client::BOUNDS);
     let addr = gate.addr().map_err(|e| format!("`listen`: {e}"))?;
     log::info!("{} listens on {addr}", told.name);
 
@@ -82,7 +90,7 @@
         Err(e) => log::error!("configuration not taken, the old one stays: {e}"),
     });
 
-    let (c, d, e, ctr) = (clients.clone(), discovery.clone(), exchange.clone(), counter.clone());
+    let (f, d, e, ctr) = (front, discovery.clone(), exchange.clone(), counter.clone());
     tokio::task::spawn_local(async move {
         let all = async {
             while !(d.answered() && e.listed() && ctr.as_ref().is_none_or(|c| c.tried())) {
@@ -93,7 +101,7 @@
         while !e.listed() {
             sleep(Duration::from_millis(5)).await;
         }
-        c.ready();
+        f.ready();
         log::info!("ready");
     });
 
--- a/gateway/src/protocol/counter.rs
+++ b/gateway/src/protocol/counter.rs
@@ -2,12 +2,14 @@
 //! keeps to one connection, so that its calls are answered in order.
 
 use super::resp::{read_reply, write_call, Reply};
-use crate::program::clock::duration;
-use crate::routing::exchange::{CounterSide, Exchange, Meeting};
-use crate::transport::dial::dial;
-use crate::transport::ending::{Ending, Why};
+use super::srv::Edge;
+use super::Exchange;
 use lupinledge::link::Outcome;
 use lupinledge::time::Span;
+use lupinledge_comb::clock::duration;
+use lupinledge_comb::exchange::{CounterSide, Meeting};
+use lupinledge_comb::transport::dial::dial;
+use lupinledge_comb::transport::ending::{Ending, Why};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -63,7 +65,7 @@
 }
 
 pub struct Counter {
-    exchange: Meeting,
+    exchange: Meeting<Edge>,
     addr: Cell<SocketAddr>,
     wait: Duration,
     connect_wait: Duration,
@@ -157,7 +159,7 @@
             let addr = self.addr.get();
             let ending = Ending::of("counter", addr);
             tokio::select! {
-                up = dial(addr, self.connect_wait) => {
+                up = dial(addr, self.connect_wait, None) => {
                     lane.tried.set(true);
                     match up {
                         Ok(stream) => {
--- a/gateway/src/protocol/discovery.rs
+++ b/gateway/src/protocol/discovery.rs
@@ -1,9 +1,6 @@
 //! Discovery: the watch on the list of srvs, opened anew whenever it ends or falls silent.
 
-use crate::program::clock::duration;
-use crate::routing::exchange::{Entry, Exchange};
-use crate::transport::dial::dial;
-use crate::transport::ending::{Ending, Why};
+use super::Exchange;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty};
 use hyper::client::conn::http1;
@@ -12,6 +9,10 @@
 use hyper_util::rt::TokioIo;
 use lupinledge::link::{ListKind, SrvRow, SrvState};
 use lupinledge::time::{Point, Span};
+use lupinledge_comb::clock::duration;
+use lupinledge_comb::exchange::Entry;
+use lupinledge_comb::transport::dial::dial;
+use lupinledge_comb::transport::ending::{Ending, Why};
 use serde::Deserialize;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -166,7 +167,7 @@
     }
 
     async fn watch(&self, addr: SocketAddr, lines: &Cell<u64>) -> Why {
-        let stream = match dial(addr, self.connect_wait).await {
+        let stream = match dial(addr, self.connect_wait, None).await {
             Ok(stream) => stream,
             Err(e) => return Why::of_dial(&e),
         };
--- a/gateway/src/routing/mod.rs
+++ /dev/null
@@ -1,2 +0,0 @@
-pub mod exchange;
-mod ids;
