--- /dev/null
+++ b/queen/tests/faults/cases.rs
@@ -0,0 +1,251 @@
+//! Named cases.
+
+use crate::world::World;
+use lupinledge_queen::Node;
+
+const THREE: [Node; 3] = [10, 20, 30];
+const FIVE: [Node; 5] = [10, 20, 30, 40, 50];
+
+impl World {
+    /// The only one that leads, once there is one.
+    fn leader(&mut self) -> Node {
+        assert!(self.run_until(4.0, |world| world.leaders().len() == 1), "nobody leads");
+        self.leaders()[0]
+    }
+
+    /// Gets one more entry acknowledged; returns the number of acknowledged ones.
+    fn acknowledge(&mut self) -> u64 {
+        let acks = self.check.acks;
+        let done = self.run_until(4.0, |world| {
+            if world.check.acks == acks {
+                world.leaders().into_iter().for_each(|node| world.propose(node));
+            }
+            world.check.acks > acks
+        });
+        assert!(done, "nothing is acknowledged");
+        self.check.acks
+    }
+
+    /// Does everybody who runs know the newest acknowledged value as committed?
+    fn agreed(&self) -> bool {
+        self.running().into_iter().all(|node| {
+            let queen = self.machines[&node].queen.as_ref();
+            queen
+                .and_then(|queen| queen.committed())
+                .is_some_and(|(stamp, _)| stamp.index >= self.check.acked)
+        })
+    }
+
+    fn roll(&self, node: Node) -> Vec<Node> {
+        self.machines[&node].queen.as_ref().map_or(Vec::new(), |queen| queen.roll().to_vec())
+    }
+
+    fn others(&self, node: Node) -> Vec<Node> {
+        self.running().into_iter().filter(|&other| other != node).collect()
+    }
+}
+
+#[test]
+fn the_first_in_order_leads_and_all_learn_what_is_committed() {
+    let mut world = World::new(1, &THREE);
+    assert_eq!(world.leader(), 10);
+    world.acknowledge();
+    world.run(0.3);
+    assert!(world.agreed());
+    world.confirm(10);
+    world.confirm(20);
+    world.run(0.2);
+    assert_eq!((world.check.confirms, world.unanswered()), (1, 0));
+}
+
+#[test]
+fn one_alone_agrees_with_itself() {
+    let mut world = World::new(1, &[10]);
+    assert_eq!(world.leader(), 10);
+    world.acknowledge();
+    world.confirm(10);
+    world.run(0.1);
+    assert_eq!(world.check.confirms, 1);
+}
+
+#[test]
+fn quiet_costs_little() {
+    let mut world = World::new(1, &THREE);
+    world.leader();
+    let words = world.words;
+    world.run(10.0);
+    assert!(world.words - words <= 280, "{} words in 10 s", world.words - words);
+}
+
+#[test]
+fn a_wiped_member_is_no_voter() {
+    let mut world = World::new(2, &THREE);
+    let a = world.leader();
+    let rest = world.others(a);
+    let (b, c) = (rest[0], rest[1]);
+    world.cut(&[c]);
+    let acks = world.acknowledge();
+    world.kill(b);
+    world.wipe(a);
+    world.cuts.clear();
+    world.start(a);
+    // Only the stale one and the empty one are left: they must not go on.
+    assert!(!world.run_until(20.0, |world| !world.leaders().is_empty()));
+    assert!(world.machines[&a].queen.as_ref().is_some_and(|queen| queen.blank()));
+    world.start(b);
+    assert_eq!(world.acknowledge(), acks + 1);
+    assert!(world.run_until(3.0, |world| world.agreed()));
+    assert!(!world.machines[&a].queen.as_ref().is_some_and(|queen| queen.blank()));
+}
+
+#[test]
+fn two_of_five_lose_their_disks_while_the_others_lose_power() {
+    let mut world = World::new(3, &FIVE);
+    let a = world.leader();
+    let rest = world.others(a);
+    world.cut(&rest[2..]);
+    let acks = world.acknowledge();
+    world.wipe(a);
+    world.wipe(rest[0]);
+    rest[1..].iter().for_each(|&node| world.kill(node));
+    world.cuts.clear();
+    FIVE.iter().for_each(|&node| world.start(node));
+    assert_eq!(world.acknowledge(), acks + 1);
+    assert!(world.run_until(3.0, |world| world.agreed()));
+}
+
+#[test]
+fn a_thawed_holder_gets_nothing_confirmed() {
+    let mut world = World::new(4, &THREE);
+    let old = world.leader();
+    world.acknowledge();
+    world.confirm(old);
+    world.freeze(old, 4.0);
+    let acks = world.check.acks;
+    let done = world.run_until(3.5, |world| {
+        if world.check.acks == acks {
+            world.others(old).into_iter().for_each(|node| world.propose(node));
+        }
+        world.check.acks > acks
+    });
+    assert!(done, "the others go on");
+    let confirms = world.check.confirms;
+    // At the moment it thaws, with answers to older beats waiting to be read.
+    world.freeze(old, 0.0);
+    world.propose(old);
+    world.confirm(old);
+    world.run(0.01);
+    assert_eq!(world.machines[&old].leads, None);
+    world.run(3.0);
+    assert_eq!((world.check.confirms, world.check.acks, world.unanswered()), (confirms, acks + 1, 0));
+    assert!(world.agreed());
+}
+
+#[test]
+fn a_minority_neither_commits_nor_confirms() {
+    let mut world = World::new(5, &FIVE);
+    let old = world.leader();
+    world.acknowledge();
+    let friend = world.others(old)[0];
+    world.cut(&[old, friend]);
+    world.propose(old);
+    world.confirm(old);
+    let (acks, confirms) = (world.check.acks, world.check.confirms);
+    assert!(world.run_until(4.0, |world| world.leaders().iter().any(|&node| node != old && node != friend)));
+    assert!(world.run_until(2.0, |world| world.unanswered() == 0));
+    for _ in 0..20 {
+        for node in [old, friend] {
+            world.propose(node);
+            world.confirm(node);
+        }
+        world.run(0.1);
+    }
+    assert_eq!((world.check.acks, world.check.confirms), (acks, confirms));
+    world.acknowledge();
+    world.cuts.clear();
+    assert!(world.run_until(2.0, |world| world.agreed()));
+}
+
+#[test]
+fn a_replaced_member_is_struck_and_the_new_one_votes() {
+    let mut world = World::new(6, &THREE);
+    world.leader();
+    world.acknowledge();
+    world.kill(10);
+    world.run(1.0);
+    world.start(40);
+    let joined =
+        world.run_until(9.0, |world| world.roll(20) == [20, 30, 40] && world.roll(40) == [20, 30, 40]);
+    assert!(joined, "{:?}", world.roll(20));
+    world.run(0.5);
+    // The new one and one of the old ones are a majority now.
+    world.kill(20);
+    world.acknowledge();
+    world.wipe(40);
+    world.start(20);
+    world.start(40);
+    world.acknowledge();
+    assert!(world.run_until(3.0, |world| world.agreed()));
+}
+
+#[test]
+fn five_grow_from_three_and_bear_two_losses() {
+    let mut world = World::new(7, &THREE);
+    world.start(40);
+    world.start(50);
+    assert!(world.run_until(6.0, |world| FIVE.iter().all(|&node| world.roll(node) == FIVE)));
+    world.run(0.5);
+    world.acknowledge();
+    world.kill(10);
+    world.kill(20);
+    world.acknowledge();
+    world.run(8.0);
+    assert_eq!(world.roll(30), FIVE, "nobody is struck without a successor");
+    world.start(60);
+    world.start(70);
+    assert!(world.run_until(9.0, |world| world.roll(70) == [30, 40, 50, 60, 70]));
+}
+
+#[test]
+fn a_struck_member_that_comes_back_is_admitted_again() {
+    let mut world = World::new(8, &THREE);
+    world.start(40);
+    assert!(world.run_until(6.0, |world| world.roll(10) == [10, 20, 30, 40]));
+    world.kill(10);
+    assert!(world.run_until(12.0, |world| world.roll(20) == [20, 30, 40]));
+    world.start(10);
+    assert!(world.run_until(6.0, |world| world.roll(10) == [10, 20, 30, 40]));
+    world.acknowledge();
+}
+
+#[test]
+fn a_holder_with_a_stalled_disk_steps_down() {
+    let mut world = World::new(9, &THREE);
+    let old = world.leader();
+    let until = world.now + 8.0;
+    world.machines.entry(old).and_modify(|machine| machine.stalled_until = until);
+    world.acknowledge();
+    assert!(world.run_until(4.0, |world| world.leaders().iter().any(|&node| node != old)));
+    world.acknowledge();
+    world.run(3.0);
+    assert!(world.now < until && !world.leaders().contains(&old));
+    world.run(8.0);
+    assert!(world.agreed());
+}
+
+#[test]
+fn everything_restarts_from_the_disks() {
+    let mut world = World::new(10, &THREE);
+    world.leader();
+    for round in 1..=5 {
+        world.acknowledge();
+        THREE.iter().for_each(|&node| world.kill(node));
+        world.run(0.5);
+        THREE.iter().for_each(|&node| world.start(node));
+        let began = world.now;
+        assert_eq!(world.acknowledge(), 2 * round);
+        assert!(world.now - began < 3.0, "back after {} s", world.now - began);
+    }
+    world.run(0.5);
+    assert!(world.agreed());
+}
--- a/queen/tests/faults.rs
+++ b/queen/tests/faults/days.rs
@@ -1,10 +1,8 @@
 //! Agreement under all faults at once, by seed: nothing acknowledged is lost, and calm brings service back.
 
-mod world;
-
+use crate::world::World;
 use lupinledge_queen::Node;
 use std::collections::BTreeSet;
-use world::World;
 
 const SEEDS: u64 = 400;
 const TROUBLE: f64 = 25.0;
@@ -33,7 +31,7 @@
         };
         let mut world = World::new(seed, &seeds);
         for &node in nodes.iter().filter(|node| !seeds.contains(node)) {
-            world.start(node, false);
+            world.start(node);
         }
         world.loss = world.rng.u32(..4) * 7;
         world.late = world.rng.u32(..3);
@@ -74,7 +72,7 @@
         }
         for node in self.nodes.clone() {
             if !self.world.up(node) && self.world.rng.u32(..6) == 0 {
-                self.world.start(node, false);
+                self.world.start(node);
             }
         }
         match self.world.rng.u32(..100) {
@@ -100,10 +98,8 @@
 
     fn freeze(&mut self) {
         let node = self.any();
-        let until = self.world.now + 0.3 + self.world.rng.f64() * 4.5;
-        if let Some(machine) = self.world.machines.get_mut(&node) {
-            machine.frozen_until = until;
-        }
+        let span = 0.3 + self.world.rng.f64() * 4.5;
+        self.world.freeze(node, span);
     }
 
     fn cut(&mut self) {
@@ -127,8 +123,7 @@
     fn wipe(&mut self) {
         let node = self.any();
         if self.weak() < self.tolerate && self.lost.is_none() && self.settled() {
-            self.world.kill(node);
-            self.world.machines.entry(node).and_modify(|machine| machine.disk = None);
+            self.world.wipe(node);
         }
     }
 
@@ -157,13 +152,13 @@
         self.nodes.retain(|&other| other != node);
         let new = node % 100 + 100 * self.replacements;
         self.nodes.push(new);
-        self.world.start(new, false);
+        self.world.start(new);
     }
 
     fn ask(&mut self) {
         let node = self.any();
         match self.world.rng.u32(..6) {
-            0 => drop(self.world.propose(node)),
+            0 => self.world.propose(node),
             1 => self.world.confirm(node),
             2..4 => {
                 for node in self.world.leaders() {
@@ -203,7 +198,7 @@
         }
         for node in self.nodes.clone() {
             if !self.world.up(node) {
-                self.world.start(node, false);
+                self.world.start(node);
             }
         }
     }
--- /dev/null
+++ b/queen/tests/faults/main.rs
@@ -0,0 +1,6 @@
+//! Agreement under faults, in an emulated world; the same verdict in each run.
+
+mod cases;
+mod check;
+mod days;
+mod world;
--- a/queen/tests/world/mod.rs
+++ b/queen/tests/faults/world.rs
@@ -1,8 +1,6 @@
 //! Emulated machines, disks and network around `Queen`, with clients; single-threaded and deterministic.
 
-mod check;
-
-pub use check::Check;
+use crate::check::Check;
 use lupinledge_queen::{Kept, Msg, Node, Out, Outcome, Queen, Settings};
 use std::{
     cmp::Reverse,
@@ -30,6 +28,8 @@
     pub queen: Option<Queen>,
     /// What survives power loss.
     pub disk: Option<Kept>,
+    /// Was the disk ever written?
+    used: bool,
     saving: Option<(u64, Kept)>,
     /// The disk ends no save before this.
     pub stalled_until: f64,
@@ -83,18 +83,19 @@
             count: 0,
         };
         for &node in seeds {
-            world.start(node, true);
+            world.start(node);
         }
         world
     }
 
-    /// Starts the processes of a machine, which is put up if it's new.
-    pub fn start(&mut self, node: Node, bootstrap: bool) {
+    /// Starts the process of a machine, which is put up if it's new; founders found once.
+    pub fn start(&mut self, node: Node) {
         let run = self.next();
         let clock = self.rng.f64() * 1e5 - self.now;
         let machine = self.machines.entry(node).or_insert_with(|| Machine {
             queen: None,
             disk: None,
+            used: false,
             saving: None,
             stalled_until: 0.0,
             refuses: 0,
@@ -107,6 +108,7 @@
             last_index: 0,
             leads: None,
         });
+        let bootstrap = !machine.used;
         let settings = Settings { me: node, seeds: self.seeds.clone(), bootstrap, seed: self.rng.u64(..) };
         machine.queen = Some(Queen::new(self.now + clock, settings, machine.disk.clone()));
         (machine.run, machine.clock, machine.last_index) = (run, clock, 0);
@@ -119,6 +121,7 @@
         let Some(machine) = self.machines.get_mut(&node) else { return };
         if let Some((_, kept)) = machine.saving.take().filter(|_| reached) {
             machine.disk = Some(kept);
+            machine.used = true;
         }
         machine.queen = None;
         machine.run = 0;
@@ -128,6 +131,17 @@
         machine.asked.clear();
     }
 
+    /// The process ends and the disk is lost.
+    pub fn wipe(&mut self, node: Node) {
+        self.kill(node);
+        self.machines.entry(node).and_modify(|machine| machine.disk = None);
+    }
+
+    pub fn freeze(&mut self, node: Node, span: f64) {
+        let until = self.now + span;
+        self.machines.entry(node).and_modify(|machine| machine.frozen_until = until);
+    }
+
     pub fn up(&self, node: Node) -> bool {
         self.machines.get(&node).is_some_and(|machine| machine.queen.is_some())
     }
@@ -151,19 +165,18 @@
         }
     }
 
-    /// Proposes the committed document with a new entry at its end; false if the node has work already.
-    pub fn propose(&mut self, node: Node) -> bool {
+    /// Proposes the committed document with a new entry at its end, unless the node has work.
+    pub fn propose(&mut self, node: Node) {
         let ticket = self.next();
-        let Some(machine) = self.machines.get_mut(&node) else { return false };
-        let Some(queen) = &machine.queen else { return false };
+        let Some(machine) = self.machines.get_mut(&node) else { return };
+        let Some(queen) = &machine.queen else { return };
         if machine.asked.values().any(|asked| matches!(asked, Asked::Propose(_))) {
-            return false;
+            return;
         }
         let mut body = queen.committed().map_or(Vec::new(), |(_, value)| value.body.clone());
         body.extend((ticket as u32).to_be_bytes());
         machine.asked.insert(ticket, Asked::Propose(body.clone()));
         self.call(node, |queen, now, out| queen.propose(now, ticket, body, out));
-        true
     }
 
     pub fn confirm(&mut self, node: Node) {
@@ -250,6 +263,7 @@
                 if let Some(machine) = self.machines.get_mut(&node) {
                     if let Some((_, kept)) = machine.saving.take().filter(|_| whole) {
                         machine.disk = Some(kept);
+                        machine.used = true;
                     }
                 }
                 self.call(node, |queen, now, out| queen.saved(now, ticket, ok, out));
--- a/waggle/src/lib.rs
+++ b/waggle/src/lib.rs
@@ -1,7 +1,8 @@
 //! Who is there: probes, second opinions, suspicion, and digests of news; no I/O.
 //!
-//! A [`Swarm`] is one process's view of all others. Its host gives it the time (seconds of a steady clock), what was
-//! heard, and sends what it hands back; see [`Swarm::tick`], [`Swarm::next_wake`] and [`Swarm::heard`].
+//! A [`Swarm`] is one process's view of all others. Its host gives it the time (seconds of a steady clock),
+//! what was heard, and sends what it hands back; see [`Swarm::tick`], [`Swarm::next_wake`] and
+//! [`Swarm::heard`].
 
 mod digest;
 mod edges;
--- a/waggle/src/news.rs
+++ b/waggle/src/news.rs
@@ -122,8 +122,8 @@
         Packet { from, life, turn, load: self.set.card.load, digest, card, body, rumours: Vec::new() }
     }
 
-    /// Those that the asker does not know yet with their cards, and with `all` the others without, in as many packets
-    /// as it takes.
+    /// Those that the asker does not know yet with their cards, and with `all` the others without, in as
+    /// many packets as it takes.
     pub(crate) fn all_members(
         &mut self,
         now: f64,
--- a/waggle/src/probes.rs
+++ b/waggle/src/probes.rs
@@ -119,8 +119,8 @@
         }
     }
 
-    /// `of` was just suspected: there may be more like it, or this process may be cut off. So others that were not
-    /// heard lately are asked at once, most of them of its region.
+    /// `of` was just suspected: there may be more like it, or this process may be cut off. So others that
+    /// were not heard lately are asked at once, most of them of its region.
     fn alarm(&mut self, now: f64, of: Node, out: &mut Vec<(Node, Packet)>) {
         let Some(region) = self.table.map.get(&of).map(|e| e.member.card.region.as_str()) else { return };
         let (mut same, mut other) = (Vec::new(), Vec::new());
@@ -184,8 +184,8 @@
         }
     }
 
-    /// The usual probe of the period: every second one along a ring, so that each is asked by somebody in time,
-    /// the others by chance, near and far.
+    /// The usual probe of the period: every second one along a ring, so that each is asked by somebody in
+    /// time, the others by chance, near and far.
     fn probe(&mut self, now: f64, out: &mut Vec<(Node, Packet)>) {
         self.sort_out();
         self.ways.round = self.ways.round.wrapping_add(1);
--- a/waggle/src/swarm.rs
+++ b/waggle/src/swarm.rs
@@ -12,7 +12,8 @@
 pub struct Settings {
     /// This process.
     pub me: Node,
-    /// Its life: greater at each start (the time of day will do; it is corrected by the others if it went back).
+    /// Its life: greater at each start (the time of day will do; it is corrected by the others if it went
+    /// back).
     pub life: u64,
     /// What it tells about itself.
     pub card: Card,
@@ -90,7 +91,8 @@
         swarm
     }
 
-    /// What this process tells about itself from now on. All hear of it, but of the load only with direct words.
+    /// What this process tells about itself from now on. All hear of it, but of the load only with direct
+    /// words.
     pub fn set_card(&mut self, card: Card) {
         self.set.card.load = card.load;
         if self.set.card != card {
@@ -134,8 +136,8 @@
         self.table.map.get(&node).map(|e| &e.member)
     }
 
-    /// The largest number of edge nodes (with this one, if it is one) that were not gone at once over the last
-    /// `span` seconds.
+    /// The largest number of edge nodes (with this one, if it is one) that were not gone at once over the
+    /// last `span` seconds.
     pub fn most_edges(&self, now: f64, span: f64) -> usize {
         self.edges.most(now, span)
     }
--- a/waggle/src/table.rs
+++ b/waggle/src/table.rs
@@ -98,8 +98,8 @@
         longest.is_some_and(|node| self.map.remove(&node).is_some())
     }
 
-    /// Forgets those that are gone since before `before`, unless most are gone: then it is this process that may
-    /// have been cut off, and it has to find back to them.
+    /// Forgets those that are gone since before `before`, unless most are gone: then it is this process
+    /// that may have been cut off, and it has to find back to them.
     pub fn forget(&mut self, before: f64) {
         let gone = self.map.values().filter(|e| e.member.standing == Standing::Gone).count();
         if gone > 0 && gone * 2 <= self.map.len() {
--- a/waggle/src/words.rs
+++ b/waggle/src/words.rs
@@ -24,7 +24,8 @@
     pub ready: bool,
     /// It is about to end in order.
     pub leaving: bool,
-    /// How busy it is, in units of the host. It goes with each packet, and a change of it alone is not passed on.
+    /// How busy it is, in units of the host. It goes with each packet, and a change of it alone is not
+    /// passed on.
     pub load: u16,
 }
 
--- a/waggle/tests/net/mod.rs
+++ b/waggle/tests/net/mod.rs
@@ -258,7 +258,10 @@
                 if !good && since >= if reached { alive } else { gone } {
                     let proc = &self.procs[b];
                     let state = (proc.swarm.is_some(), proc.frozen, proc.side);
-                    return Err(format!("{:.2}: {a} takes {b} for {view:?} {since:.2} s after a change; (up, frozen, side) {state:?}, own side {}", self.now, self.procs[a].side));
+                    let (now, own) = (self.now, self.procs[a].side);
+                    let of =
+                        format!("{since:.2} s after a change; (up, frozen, side) {state:?}, own side {own}");
+                    return Err(format!("{now:.2}: {a} takes {b} for {view:?} {of}"));
                 }
             }
         }
--- a/waggle/tests/news.rs
+++ b/waggle/tests/news.rs
@@ -5,7 +5,8 @@
 use lupinledge_waggle::{Digest, Member, Standing};
 use net::{card, index, node, Net};
 
-/// A calm network whose hosts pull what is newer; returns in how many seconds something new at one reached all.
+/// A calm network whose hosts pull what is newer; returns in how many seconds something new at one reached
+/// all.
 fn spread(seed: u64, n: usize, loss: f64) -> f64 {
     let mut net = Net::new(n, 3, loss, seed);
     net.pulls = true;
--- a/waggle/tests/seen.rs
+++ b/waggle/tests/seen.rs
@@ -4,7 +4,8 @@
 
 use net::Net;
 
-/// Some faults, one after the other, each with time to settle. Every view is compared with who is up all the while.
+/// Some faults, one after the other, each with time to settle. Every view is compared with who is up all
+/// the while.
 fn day(seed: u64, loss: f64) -> Result<(), String> {
     let mut chance = fastrand::Rng::with_seed(seed);
     let n = chance.usize(12..=64);
--- a/wax/src/post.rs
+++ b/wax/src/post.rs
@@ -70,8 +70,8 @@
 }
 
 impl Post {
-    /// Binds UDP and TCP at this port of `me`. Words are handed to `on_word` from tasks of the post, also those that
-    /// the process sends to itself.
+    /// Binds UDP and TCP at this port of `me`. Words are handed to `on_word` from tasks of the post, also
+    /// those that the process sends to itself.
     pub fn open(me: Node, port: u16, on_word: Rc<dyn Fn(Node, Word)>) -> eyre::Result<Rc<Post>> {
         let at = SocketAddr::from((Ipv4Addr::from(me), port));
         let udp = bound(Type::DGRAM, Protocol::UDP, at).wrap_err_with(|| format!("datagrams at {at}"))?;
