Module: waiters bound to homes hold up nobody; those of one round are not behind each other

Ruled out: quota (counters far below), sick servers, the pool limit (0 to 3 of 5.3 out). Cause, by a probe that printed each refusal: the largest tenant's home is in no home of the settlement route, so no server may have its requests; at the head of the line they kept all others waiting. Also two arrivals of one round: the second was behind a waiter for whom a place was free. Change: a lane of its own for what only some servers may have, passed over while those are full; denied at once where no server is there; places that are free are taken off the line's length. Frontends that never come to a pool have no value in it (classes elsewhere made its cheap ones impatient).

--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -2,9 +2,9 @@
 //! (tables, list of servers, number of gateways) is told here, and the pools are brought to it.
 
 use crate::ledger::Ledger;
-use crate::terms::{lines, terms, Places, World};
+use crate::terms::{lines, terms, Lines, Places, World};
 use crate::wire::Trail;
-use lupinledge::link::{Frontend, ListKind, Plan, SrvRow, SrvState};
+use lupinledge::link::{ListKind, SrvRow, SrvState};
 use lupinledge::time::Point;
 use lupinledge_comb::clock::Clock;
 use lupinledge_comb::counters::Counters;
@@ -39,7 +39,7 @@
     gateways: usize,
     routes: Places,
     tenants: Places,
-    lines: (Vec<Frontend>, Vec<Plan>),
+    lines: Lines,
     pools: HashMap<String, Pool>,
     /// Pools of services that are in no configuration any more, until their requests are over.
     retired: Vec<Pool>,
@@ -95,9 +95,13 @@
         Some((w.pools.get(service)?.exchange.clone(), w.routes.of(&route.key)?, plan))
     }
 
-    /// The zones that may serve, a bit each.
+    /// The zones whose servers may have the request, a bit each; all where it has no homes. Evacuations are the
+    /// list's.
     pub fn zones(&self, tables: &Tables, route: &Route, tenant: Option<&Tenant>) -> u64 {
-        let may = |z: &String| tables.may_serve(route, tenant, z);
+        if route.homes.is_empty() && tenant.is_none_or(|t| t.homes.is_empty()) {
+            return u64::MAX;
+        }
+        let may = |z: &String| tables.at_home(route, tenant, z);
         let zones = self.world.zones.iter().take(63).enumerate();
         zones.filter(|(_, z)| may(z)).fold(0, |bits, (i, _)| bits | 1 << i)
     }
@@ -171,8 +175,8 @@
     /// Brings every pool to the terms wanted; opens those that are new.
     fn settle(&self) {
         let w = &mut *self.wanted.borrow_mut();
-        for s in w.tables.services() {
-            let terms = terms(&self.settings, &self.world, s, w.gateways, &w.lines);
+        for (nth, s) in w.tables.services().iter().enumerate() {
+            let terms = terms(&self.settings, &self.world, (nth, s), w.gateways, &w.lines);
             match w.pools.get(&s.name) {
                 Some(p) => p.exchange.change(terms),
                 None => drop(w.pools.insert(s.name.clone(), self.open(terms))),
--- a/forager/src/terms.rs
+++ b/forager/src/terms.rs
@@ -123,11 +123,14 @@
     ceiling_burst: 0.0,
 };
 
-/// The frontends and plans of a configuration, at their places; the first plan is that of no tenant.
-pub fn lines(tables: &Tables, routes: &mut Places, tenants: &mut Places) -> (Vec<Frontend>, Vec<Plan>) {
-    let mut frontends = vec![NOWHERE; routes.renew(tables.routes().iter().map(|r| r.key.as_str()))];
+/// The frontends and plans of a configuration, at their places; the first plan is that of no tenant. With each
+/// frontend, the services that its requests may go to.
+pub fn lines(tables: &Tables, routes: &mut Places, tenants: &mut Places) -> Lines {
+    let mut frontends =
+        vec![(NOWHERE, Vec::new()); routes.renew(tables.routes().iter().map(|r| r.key.as_str()))];
     for r in tables.routes() {
-        routes.of(&r.key).into_iter().for_each(|i| frontends[i] = frontend(r));
+        let services = r.services.iter().filter(|s| s.1 > 0.0).map(|s| s.0).collect::<Vec<_>>();
+        routes.of(&r.key).into_iter().for_each(|i| frontends[i] = (frontend(r), services.clone()));
     }
     let mut plans = vec![FREE; 1 + tenants.renew(tables.tenants().iter().map(|t| t.name.as_str()))];
     for t in tables.tenants() {
@@ -136,14 +139,17 @@
     (frontends, plans)
 }
 
+/// See [`lines`].
+pub type Lines = (Vec<(Frontend, Vec<usize>)>, Vec<Plan>);
+
 /// The terms of one service's pool. What all gateways may do together is divided by `gateways`; halves, so that
 /// those that were killed and come back may do their part twice within a window.
 pub fn terms(
     s: &Settings,
     w: &World,
-    service: &Service,
+    (nth, service): (usize, &Service),
     gateways: usize,
-    lines: &(Vec<Frontend>, Vec<Plan>),
+    lines: &Lines,
 ) -> Terms {
     let (b, each) = (&s.bounds, 1.0 / gateways.max(1) as f64);
     let bound = service.warmup_per_s * b.warmup_excess + b.warmup_slack;
@@ -153,7 +159,12 @@
         zone: w.zone,
         zones: w.zones.len(),
         period: Span::ZERO,
-        frontends: lines.0.clone(),
+        // what never comes to this pool has no value beside what does
+        frontends: lines
+            .0
+            .iter()
+            .map(|(f, s)| Frontend { value: f.value * s.contains(&nth) as u8 as f64, ..*f })
+            .collect(),
         plans: lines.1.clone(),
         counter: true,
         count_wait: Span::millis(350),
--- a/propolis/src/tables.rs
+++ b/propolis/src/tables.rs
@@ -206,12 +206,11 @@
         self.keyed
     }
 
-    /// Whether servers in the zone may get the request: the zone is not evacuated, and its region is a home of
-    /// both the route and the tenant, where they have homes.
-    pub fn may_serve(&self, route: &Route, tenant: Option<&Tenant>, zone: &str) -> bool {
+    /// Whether the zone's region is a home of both the route and the tenant, where they have homes.
+    pub fn at_home(&self, route: &Route, tenant: Option<&Tenant>, zone: &str) -> bool {
         let region = self.region(zone);
         let home = |homes: &[String]| homes.is_empty() || homes.iter().any(|h| Some(h.as_str()) == region);
-        !self.evacuated(zone) && home(&route.homes) && tenant.is_none_or(|t| home(&t.homes))
+        home(&route.homes) && tenant.is_none_or(|t| home(&t.homes))
     }
 
     /// Whether the zone is evacuated.
--- a/src/control.rs
+++ b/src/control.rs
@@ -281,7 +281,11 @@
         let patience = self.patience(frontend, n.plan);
         // what is cheap beside others has no place in the line for free: at many gateways each is short
         let few = if patience < 0.5 * f.target.secs() { 0.0 } else { 2.0f64.max(0.3 * self.limit) };
-        let hopeless = self.line.waiting as f64 > (answers * patience).max(few);
+        let served = |i: usize| n.zones >> self.srvs.zone[i].min(63) & 1 == 1;
+        let nowhere = n.zones != u64::MAX && !self.srvs.open().any(served);
+        // those of the same round that free places are there for are not behind anybody
+        let behind = self.line.waiting as f64 - (self.limit - self.out as f64).max(0.0);
+        let hopeless = behind > (answers * patience).max(few) || nowhere;
         let short = rated && self.room(c) < n.units;
         let (cust, crowd) = (&self.customers[c], self.crowd);
         let recent = cust.quota.fresh(self.now, ROLL);
@@ -338,15 +342,19 @@
     fn admit(&mut self, slot: usize) {
         let Some(r) = self.reqs.at_mut(slot) else { return };
         r.stage = Stage::Waiting;
-        let (c, target, f, id) = (r.customer, r.target, r.frontend, r.id);
+        let (c, target, f, id, zones) = (r.customer, r.target, r.frontend, r.id, r.zones);
         self.wakes.push(target - Span::from_secs(self.typical(f)), slot, id);
-        self.line.join(c, slot); // newest first: where a customer waits, its older reqs are likelier late
+        // newest first: where a customer waits, its older reqs are likelier late; what only some srvs may have
+        // waits in a lane of its own
+        self.line.join(2 * c + (zones != u64::MAX) as usize, slot);
     }
 
     /// Weighted deficit round robin over customers (DESIGN). The limit is held on average, by one place at
     /// the most: else reqs wait at the one place of a gateway while the others' stand free.
     fn pump(&mut self) {
-        while let Some((c, slot)) = self.line.head() {
+        let mut passed_over = 0;
+        while let Some((lane, slot)) = self.line.head() {
+            let (c, bound) = (lane / 2, lane % 2 == 1);
             let late = |r: &Req| self.now >= r.target.min(r.ends) - Span::from_secs(self.typical(r.frontend));
             if self.reqs.at(slot).is_some_and(late) {
                 self.end(slot); // usual times grew while it waited: sent now, it would only be wasted
@@ -357,7 +365,14 @@
                 continue;
             }
             let free = (self.out as f64) < self.limit + (self.limit - self.used).clamp(0.0, 1.0);
-            let Some(srv) = Some(slot).filter(|_| free).and_then(|s| self.pick(s)) else { break };
+            let Some(srv) = Some(slot).filter(|_| free).and_then(|s| self.pick(s)) else {
+                passed_over += 1;
+                if !free || !bound || passed_over > self.line.lanes() {
+                    break;
+                }
+                self.line.turn(); // a place that it may not have is there for others
+                continue;
+            };
             let p = &self.terms.plans[self.customers[c].plan];
             // the weight: as many of the largest reqs as the plan lets a customer have out at once
             let weight = (p.burst / self.terms.largest).max(p.at_once as f64).max(1.0);
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -278,7 +278,7 @@
     }
 }
 
-/// Waiters: a queue and a deficit by customer, the customers that have some in a ring.
+/// Waiters: a queue and a deficit a lane, the lanes that have some in a ring.
 #[derive(Debug, Default)]
 pub struct Line {
     pub waiting: usize,
@@ -317,6 +317,9 @@
     pub fn turn(&mut self) {
         self.ring.rotate_left(1);
     }
+    pub fn lanes(&self) -> usize {
+        self.ring.len()
+    }
 }
 
 /// What gateways tell each other of a customer: the part of its reqs let through. Seven bytes each.
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -281,6 +281,12 @@
 #[test_case("cheap"; "an overrun that costs nothing is let in while places are free")]
 #[test_case("callback"; "a dispatch at a convicted srv is called back")]
 #[test_case("wakes"; "a req that is over wakes nobody")]
+#[test_case("homes"; "what only some srvs may have holds up nobody")]
+#[test_case("further"; "second srvs are tried within a budget")]
+#[test_case("refund"; "what never came to a srv costs no budget")]
+#[test_case("patient"; "a late answer is worth a try while places are free")]
+#[test_case("region"; "another region is the last choice")]
+#[test_case("far"; "a far counter is told and not waited for")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
