Quota: parts of alone pools add up to one; an empty counter does not undo the own reckoning

Ruled out: the window's roll, the reading with a running counter (strict bound kept there), clock steps. Causes: each pool decides alone as a gateway of its own, but its part was an even split over gateways only (27 pools took 1.34 of the quota); and a new holder's first total, near zero, was read as a full refill of the 1.5 s without answers, on every pool before the others had told theirs. Change: spread is gateways x pools; where a total fell, the store is the own reckoning at the most.

--- a/forager/src/door.rs
+++ b/forager/src/door.rs
@@ -92,7 +92,7 @@
             units: 1.0,
             customer: tenant.map_or(0, |t| t.customer),
             plan,
-            spread: self.pools.gateways().max(1) as f64,
+            spread: self.pools.spread(),
             left,
             zones: self.pools.zones(&tables, route, tenant),
         };
--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -106,9 +106,11 @@
         zones.filter(|(_, z)| may(z)).fold(0, |bits, (i, _)| bits | 1 << i)
     }
 
-    /// Gateways whose requests add up to what the rules bound.
-    pub fn gateways(&self) -> usize {
-        self.wanted.borrow().gateways
+    /// Through how many pools a tenant's requests may come, over all gateways: each decides by itself while the
+    /// counters are out of reach, and their parts have to add up to one.
+    pub fn spread(&self) -> f64 {
+        let w = self.wanted.borrow();
+        (w.gateways * w.pools.len()).max(1) as f64
     }
 
     /// Requests without an answer.
--- a/src/control.rs
+++ b/src/control.rs
@@ -651,8 +651,10 @@
     /// Reads the store out of a total; returns by how much it is overdrawn. What a full store lost of its
     /// fill is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
     fn quota_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
+        let own = self.room(call.customer);
         let cust = &mut self.customers[call.customer];
         let (p, q) = (&self.terms.plans[cust.plan], &mut cust.quota);
+        let own = own + q.flying + q.owed;
         q.flying -= call.amount;
         q.owed += if added { 0.0 } else { call.amount };
         if !answered || call.epoch < q.epoch {
@@ -664,7 +666,8 @@
         let delta = if anew { total } else { total - q.total };
         let since = if q.seen.is_none() { self.now.secs() % WINDOW } else { self.now.since(cust.level_at) };
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
-        let all = cust.level + p.rate * since;
+        // an empty counter knows nothing of what went out while none answered: the own reckoning goes on
+        let all = (cust.level + p.rate * since).min(if fell { own } else { f64::MAX });
         let (least, most) = (all.min(p.burst) - delta, (all - delta + call.units).min(p.burst) - call.units);
         // over more than the time in which the store fills, unsteady use evens out
         let even = (-since * p.rate / p.burst.max(1e-3)).exp();
