Module: no wake for now from a review; no fall of a counter at a window's roll; own zone first

Ruled out: timers of the drivers (two of the control plane could spin through a millisecond; mended as well). It is woken at its end anyway. Small tenants' bursts are read with some room, of large ones a fifth is kept for what gateways decide alone.

--- a/forager/src/terms.rs
+++ b/forager/src/terms.rs
@@ -93,7 +93,9 @@
 fn plan(t: &Tenant) -> Plan {
     Plan {
         rate: t.rate,
-        burst: t.burst.max(0.2 * t.rate).max(if t.rate > 0.0 { 1.0 } else { 0.0 }),
+        // of a large one a fifth is kept for what gateways decide alone, without each other's last sends; a small
+        // one, whose clumps are few, is read with some room, far within what the rule leaves
+        burst: if t.rate > 0.0 { (0.8 * t.burst + 6.0).min(t.burst + 3.0) } else { 0.0 },
         price: 1.0 / (1.0 + f64::from(t.priority)),
         ..FREE
     }
--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -85,7 +85,7 @@
         let agree = self.clone();
         tokio::task::spawn_local(async move {
             loop {
-                let wait = (agree.due.get() - agree.clock.now()).clamp(0.0, 1.0);
+                let wait = (agree.due.get() - agree.clock.now()).clamp(0.001, 1.0);
                 tokio::select! {
                     _ = sleep(Duration::from_secs_f64(wait)) => agree.turn(|queen, now, out| queen.tick(now, out)),
                     _ = agree.wake.notified() => {}
--- a/hive/src/swarm.rs
+++ b/hive/src/swarm.rs
@@ -39,7 +39,7 @@
         let members = self.clone();
         tokio::task::spawn_local(async move {
             loop {
-                let wait = (members.due.get() - members.clock.now()).clamp(0.0, 1.0);
+                let wait = (members.due.get() - members.clock.now()).clamp(0.001, 1.0);
                 tokio::select! {
                     _ = sleep(Duration::from_secs_f64(wait)) => members.turn(|swarm, now| swarm.tick(now)),
                     _ = members.wake.notified() => {}
--- a/queen/src/lib.rs
+++ b/queen/src/lib.rs
@@ -218,7 +218,7 @@
         self.learner.is_some()
     }
 
-    /// Takes the time. After a gap, others are not judged by this node's own standstill.
+    /// Takes the time. Of a standstill of this node only its first part counts as silence of others.
     fn enter(&mut self, now: f64) {
         let gap = now - self.now;
         if gap <= 0.0 {
@@ -226,14 +226,15 @@
         }
         self.now = now;
         if gap > GAP {
+            let surplus = gap - GAP;
             for at in self.heard.values_mut() {
-                *at += gap;
+                *at += surplus;
             }
             if let Some(seen) = &mut self.seen {
-                seen.at += gap;
+                seen.at += surplus;
             }
-            self.calm += gap;
-            self.disk.thawed(gap);
+            self.calm += surplus;
+            self.disk.thawed(surplus);
             if let Role::Holding(holding) = &mut self.role {
                 holding.thawed(now);
             }
--- a/queen/tests/faults/days.rs
+++ b/queen/tests/faults/days.rs
@@ -255,9 +255,6 @@
 fn many_more_days() {
     let bound = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
     let (from, to): (u64, u64) = (bound("FROM").unwrap_or(SEEDS), bound("TO").unwrap_or(10 * SEEDS));
-    for seed in from..to {
-        if std::panic::catch_unwind(|| day(seed)).is_err() {
-            eprintln!("seed {seed}");
-        }
-    }
+    let bad: Vec<u64> = (from..to).filter(|&seed| std::panic::catch_unwind(|| day(seed)).is_err()).collect();
+    assert!(bad.is_empty(), "seeds {bad:?}");
 }
--- a/queen/tests/faults/main.rs
+++ b/queen/tests/faults/main.rs
@@ -3,4 +3,5 @@
 mod cases;
 mod check;
 mod days;
+mod steps;
 mod world;
--- a/src/control.rs
+++ b/src/control.rs
@@ -194,7 +194,9 @@
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
             let near = match self.terms.distance(s.zone[i]) {
-                2 => 3.0, // another region: far, and its bytes are dear
+                // bytes between places are dear: others come when the own ones are clearly fuller
+                2 => 6.0,
+                1 if !self.terms.regions.is_empty() => 3.0,
                 1 if home => 1.05,
                 _ => 1.0,
             };
@@ -460,9 +462,9 @@
         let waits = self.terms.patient && self.terms.frontends[f].effect == Effect::NonReplayable;
         // out at convicted srvs only, and too late for another: given up, so that its client can ask again
         match running > 0 && !sound {
-            true if self.now >= give_up && !waits => return self.end(slot),
-            true => self.wakes.push(give_up, slot, id),
-            false => {}
+            true if self.now < give_up => self.wakes.push(give_up, slot, id),
+            true if !waits => return self.end(slot),
+            _ => {} // its end wakes it; one more wake for now would come in this round, without end
         }
         // where no second copy may be out beside it, a dispatch at a convicted srv is called back to free the
         // req. A time-out of any overdue one would only do the same work twice where all is slow (ageing)
@@ -661,17 +663,19 @@
             return (-cust.level).max(0.0);
         }
         // a new name, or the counter came back empty: own memory of the store still counts
-        let fell = q.total - total + call.amount > (2.0 * self.terms.largest).max(0.5 * q.total);
+        let less = q.total - total + call.amount > (2.0 * self.terms.largest).max(0.5 * q.total);
+        let fell = less && call.epoch == q.epoch;
         let anew = call.epoch > q.epoch || q.seen.is_none() || fell;
         let delta = if anew { total } else { total - q.total };
         let since = if q.seen.is_none() { self.now.secs() % WINDOW } else { self.now.since(cust.level_at) };
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
-        // an empty counter knows nothing of what went out while none answered: the own reckoning goes on
-        let all = (cust.level + p.rate * since).min(if fell { own } else { f64::MAX });
+        let all = cust.level + p.rate * since;
         let (least, most) = (all.min(p.burst) - delta, (all - delta + call.units).min(p.burst) - call.units);
         // over more than the time in which the store fills, unsteady use evens out
         let even = (-since * p.rate / p.burst.max(1e-3)).exp();
         cust.level = most + (least - most) * even * p.overrun_cost / (1.0 + p.overrun_cost);
+        // an empty counter knows nothing of what went out while none answered: the own reckoning goes on
+        cust.level = cust.level.min(if fell { own - call.amount } else { f64::MAX });
         (cust.level_at, cust.run_at, cust.run) = (self.now, self.now, cust.level - q.flying - q.owed);
         let keep = (-since / SHARE_MEMORY).exp();
         cust.own = cust.own * keep + call.amount.max(0.0);
