forager: a zone that was taken back opens after a warm-up where no list changes

Cause: a list that changes nothing is not told, so after a warm evacuation the zone's servers stayed shut for good. Ruled out: opening at once (FAILBACK: its servers may have turned cold shortly before, and the list lags).

--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -75,6 +75,7 @@
         loop {
             if let Some(pools) = &*self.pools.borrow() {
                 pools.among(self.dance.edges(LATELY).max(1));
+                pools.lapse();
             }
             tokio::time::sleep(UPKEEP).await;
         }
--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -21,6 +21,9 @@
 /// A warm-up that ends so much later than was known has begun anew; less is the list's own unsharpness.
 const COLD_AGAIN: f64 = 0.5;
 
+/// A server that turned cold shortly before its zone was taken back is warm so long after its warm-up at the latest.
+const UNSURE: f64 = 0.5;
+
 struct Pool {
     exchange: Rc<Exchange<Trail>>,
     drive: tokio::task::AbortHandle,
@@ -45,8 +48,9 @@
     retired: Vec<Pool>,
     /// When the warm-up of a server began, of those that were met cold.
     born: HashMap<String, Point>,
-    /// Zones taken back, and the list that was known then: their servers may have turned cold since.
-    unsure: HashMap<String, (u64, u64)>,
+    /// Zones taken back, the list that was known then, and until when their servers may be cold without a list
+    /// having told so.
+    unsure: HashMap<String, ((u64, u64), Point)>,
 }
 
 /// See the module.
@@ -125,7 +129,9 @@
             let w = &mut *self.wanted.borrow_mut();
             let back = |z: &&String| w.tables.evacuated(z) && !tables.evacuated(z);
             let back: Vec<String> = self.world.zones.iter().filter(back).cloned().collect();
-            w.unsure.extend(back.into_iter().map(|z| (z, w.list.number)));
+            let longest = tables.services().iter().map(|s| s.warmup_s).fold(0.0, f64::max);
+            let until = self.clock.now().later(longest + UNSURE);
+            w.unsure.extend(back.into_iter().map(|z| (z, (w.list.number, until))));
             w.tables = tables;
             w.lines = lines(&w.tables, &mut w.routes, &mut w.tenants);
             let named: HashSet<&str> = w.tables.services().iter().map(|s| s.name.as_str()).collect();
@@ -144,11 +150,21 @@
         }
     }
 
+    /// Opens zones whose servers are warm by now even if no list changed: one that changes nothing is not told.
+    pub fn lapse(&self) {
+        let now = self.clock.now();
+        let before = self.wanted.borrow().unsure.len();
+        self.wanted.borrow_mut().unsure.retain(|_, (_, until)| now < *until);
+        if self.wanted.borrow().unsure.len() < before {
+            self.deal();
+        }
+    }
+
     /// A newer list of servers.
     pub fn list(&self, list: List) {
         {
             let w = &mut *self.wanted.borrow_mut();
-            w.unsure.retain(|_, known| list.number <= *known);
+            w.unsure.retain(|_, (known, _)| list.number <= *known);
             let there: HashSet<&str> = list.rows.iter().map(|r| r.id.as_str()).collect();
             w.born.retain(|id, _| there.contains(id.as_str()));
             for r in &list.rows {
