Counters: sums instead of adds; a new holder is told what the one before knew

Ruled out: keeping the counters on a majority (a round trip more for each request and a sync), and a counter kept by two at once (who is right after a cut). Change: a gateway tells the sum of all that it ever added to a name, so that a lost word is mended by the next call. A new holder asks the gateways that are alive, which tell their sums, the last total and what of it was theirs; the largest total less the sums within it is what those out of reach had used: it stays counted, is presumed to go on, and is taken off as they come back. The holder's word also tells gateways at once where the counters are, ahead of the digests.

--- a/dance/src/lib.rs
+++ b/dance/src/lib.rs
@@ -189,6 +189,11 @@
                 let list = list.map(|(number, bytes)| (number, Rc::from(bytes.into_vec())));
                 self.take(from, News { epoch: Some((digest.epoch, digest.holder)), state, list });
             }
+            // ahead of the digests, so that the counters are out of reach for as short as can be
+            Word::Hold { epoch } => {
+                self.take(from, News { epoch: Some((epoch, from)), ..News::default() });
+                self.to_host(|h| h.word(from, Word::Hold { epoch }));
+            }
             other => self.to_host(|h| h.word(from, other)),
         }
     }
--- a/forager/src/ledger.rs
+++ b/forager/src/ledger.rs
@@ -1,10 +1,12 @@
 //! Calls to the counters, which the duty holder keeps: those of one round go out as one word, and an answer that
-//! does not come in time is none.
+//! does not come in time is none. What is told is the sum of all that this process added to a name: the next call
+//! mends one that was lost, and a new holder is told at once what the one before knew from here.
 
 use crate::wire::Trail;
 use lupinledge::link::Outcome;
 use lupinledge::time::Span;
 use lupinledge_comb::exchange::{CounterSide, Exchange};
+use lupinledge_nectar::own::Own;
 use lupinledge_wax::{Node, Post, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -20,40 +22,77 @@
 
 type Pool = Weak<Exchange<Trail>>;
 
+/// One call of a pool: its name, what was added, and the sum with it.
+struct Call {
+    pool: Pool,
+    name: u64,
+    amount: f64,
+    sum: f64,
+}
+
 struct Sent {
     tag: u64,
     to: Node,
     at: Instant,
-    names: Vec<(Pool, u64)>,
+    calls: Vec<Call>,
 }
 
 /// All calls of this process.
 pub struct Ledger {
     post: Rc<Post>,
-    holder: Cell<Node>,
+    life: u32,
+    began: Instant,
+    holder: Cell<(u64, Node)>,
     given: Cell<u64>,
+    own: RefCell<Own>,
     batch: RefCell<Vec<(Pool, u64, f64, f32)>>,
     waiting: RefCell<VecDeque<Sent>>,
 }
 
 impl Ledger {
-    /// With no holder known yet: calls fail at once.
-    pub fn start(post: Rc<Post>) -> Rc<Ledger> {
-        let (holder, given) = (Cell::new(0), Cell::new(0));
-        let ledger = Ledger { post, holder, given, batch: RefCell::default(), waiting: RefCell::default() };
-        let ledger = Rc::new(ledger);
+    /// With no holder known yet: calls fail at once. Another start of the process has another `life`.
+    pub fn start(post: Rc<Post>, life: u32) -> Rc<Ledger> {
+        let ledger = Rc::new(Ledger {
+            post,
+            life,
+            began: Instant::now(),
+            holder: Cell::default(),
+            given: Cell::new(0),
+            own: RefCell::default(),
+            batch: RefCell::default(),
+            waiting: RefCell::default(),
+        });
         tokio::task::spawn_local(ledger.clone().sweep());
         ledger
     }
 
-    /// Who holds the counters from here on. What the former one has not answered fails.
-    pub fn holder(&self, node: Node) {
-        if self.holder.replace(node) != node {
+    /// Who holds the counters from here on. What the former one has not answered fails; it may have been counted, so
+    /// its sums are told to the new one all the same.
+    pub fn holder(&self, epoch: u64, node: Node) {
+        if self.holder.replace((epoch, node)) != (epoch, node) {
             let old = std::mem::take(&mut *self.waiting.borrow_mut());
-            old.into_iter().for_each(|s| fail(s.names, Outcome::TimedOut));
+            old.into_iter().for_each(|s| self.fail(s.calls, Outcome::TimedOut));
+            self.tell();
         }
     }
 
+    /// A holder has not heard yet what was told before it.
+    pub fn asked(&self, epoch: u64, from: Node) {
+        if self.holder.get() == (epoch, from) {
+            self.tell();
+        }
+    }
+
+    fn tell(&self) {
+        let told = self.own.borrow().told(self.now());
+        let told = told.into_iter().map(|t| (t.name, t.sum, t.within, t.total, t.life as f32)).collect();
+        self.post.send(self.holder.get().1, &Word::Told { life: self.life, told });
+    }
+
+    fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
     /// A side of it for the decisions of one pool.
     pub fn account(self: &Rc<Ledger>, pool: Pool) -> Rc<dyn CounterSide> {
         Rc::new(Account { ledger: self.clone(), pool })
@@ -67,11 +106,12 @@
             at.and_then(|at| waiting.remove(at))
         };
         let Some(sent) = sent else { return };
-        if totals.len() != sent.names.len() || totals.iter().any(|t| !t.is_finite()) {
-            return fail(sent.names, Outcome::Full);
+        if totals.len() != sent.calls.len() || totals.iter().any(|t| !t.is_finite()) {
+            return self.fail(sent.calls, Outcome::Full);
         }
-        for ((pool, name), total) in sent.names.into_iter().zip(totals) {
-            pool.upgrade().into_iter().for_each(|p| p.counted(name, *total, Outcome::Passed));
+        for (call, total) in sent.calls.into_iter().zip(totals) {
+            self.own.borrow_mut().total(call.name, call.sum, *total);
+            call.pool.upgrade().into_iter().for_each(|p| p.counted(call.name, *total, Outcome::Passed));
         }
     }
 
@@ -82,7 +122,7 @@
             loop {
                 let due = self.waiting.borrow().front().is_some_and(overdue);
                 let Some(sent) = due.then(|| self.waiting.borrow_mut().pop_front()).flatten() else { break };
-                fail(sent.names, Outcome::TimedOut);
+                self.fail(sent.calls, Outcome::TimedOut);
             }
         }
     }
@@ -92,22 +132,31 @@
         if batch.is_empty() {
             return;
         }
-        let calls = batch.iter().map(|(_, name, amount, life)| (*name, *amount, *life)).collect();
-        let names = batch.into_iter().map(|(pool, name, ..)| (pool, name)).collect();
-        let to = self.holder.get();
+        let now = self.now();
+        let (mut words, mut calls) = (Vec::with_capacity(batch.len()), Vec::with_capacity(batch.len()));
+        for (pool, name, amount, life) in batch {
+            let sum = self.own.borrow_mut().add(now, name, amount, f64::from(life));
+            words.push((name, sum, life));
+            calls.push(Call { pool, name, amount, sum });
+        }
+        let (_, to) = self.holder.get();
         if to == 0 || self.waiting.borrow().len() >= WAITING_MOST {
-            return fail(names, Outcome::NoConnection);
+            return self.fail(calls, Outcome::NoConnection);
         }
         let tag = self.given.get() + 1;
         self.given.set(tag);
-        self.waiting.borrow_mut().push_back(Sent { tag, to, at: Instant::now(), names });
-        self.post.send(to, &Word::Count { tag, calls });
+        self.waiting.borrow_mut().push_back(Sent { tag, to, at: Instant::now(), calls });
+        self.post.send(to, &Word::Count { tag, life: self.life, calls: words });
     }
-}
 
-fn fail(names: Vec<(Pool, u64)>, how: Outcome) {
-    for (pool, name) in names {
-        pool.upgrade().into_iter().for_each(|p| p.counted(name, 0.0, how));
+    /// What was surely not counted is going to be added again.
+    fn fail(&self, calls: Vec<Call>, how: Outcome) {
+        for call in calls {
+            if how != Outcome::TimedOut {
+                self.own.borrow_mut().undo(call.name, call.amount);
+            }
+            call.pool.upgrade().into_iter().for_each(|p| p.counted(call.name, 0.0, how));
+        }
     }
 }
 
--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -102,8 +102,8 @@
 
 impl Host for Nest {
     fn news(&self, news: News) {
-        if let Some((_, holder)) = news.epoch {
-            self.ledger.holder(holder);
+        if let Some((epoch, holder)) = news.epoch {
+            self.ledger.holder(epoch, holder);
         }
         // before the first configuration there is an empty document
         if let Some((_, bytes)) = news.state.as_ref().filter(|s| !s.1.is_empty()) {
@@ -122,6 +122,7 @@
     fn word(&self, from: Node, word: Word) {
         match word {
             Word::Counted { tag, totals, .. } => self.ledger.counted(from, tag, &totals),
+            Word::Hold { epoch } => self.ledger.asked(epoch, from),
             Word::ClockIs { sent, hive } => {
                 self.estimate.borrow_mut().sample(sent, hive, self.dance.now());
                 self.woken.notify_one();
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -113,9 +113,9 @@
         let _ = here.set(hive.clone());
         let news = News::start(clock, agree.clone(), brood, members.clone(), post.clone());
         let _ = hive.news.set(news);
-        hive.counts.run(members.clone());
         members.run(post.clone());
-        agree.run(post, ends);
+        agree.run(post.clone(), ends);
+        hive.counts.run(members, post);
         tokio::task::spawn_local(hive.clone().upkeep());
         tracing::info!(event = "started", node = %hive.settings.borrow().ip, port, empty);
         Ok(hive)
@@ -128,12 +128,13 @@
             Word::Queen(msg) => self.agree.heard(from, msg),
             Word::Want(digest) => self.news.get().into_iter().for_each(|n| n.wanted(from, &digest)),
             Word::News { list, .. } => self.news.get().into_iter().for_each(|n| n.heard(list.clone())),
-            Word::Count { tag, calls } => self.counts.heard(&self.post, from, tag, &calls),
+            Word::Count { tag, life, calls } => self.counts.heard(&self.post, (from, life), tag, &calls),
+            Word::Told { life, told } => self.counts.told(from, life, &told),
             Word::Clock { sent } if self.agree.leads().is_some() => {
                 self.post.cast(from, &Word::ClockIs { sent, hive: self.clock.hive() });
             }
             Word::ClockIs { sent, hive } if self.holds(from) => self.clock.adopt(sent, hive),
-            Word::Clock { .. } | Word::ClockIs { .. } | Word::Counted { .. } => {}
+            Word::Clock { .. } | Word::ClockIs { .. } | Word::Counted { .. } | Word::Hold { .. } => {}
         }
     }
 
--- a/nectar/src/lib.rs
+++ b/nectar/src/lib.rs
@@ -4,13 +4,18 @@
 //! that the quota bounds and 1 for what is in flight. A gateway that fell silent may go on using its part of a
 //! customer's quota unseen; the totals of names of use include what it is presumed to use ([`silence`]).
 //!
-//! A new holder begins with nothing: gateways keep their own memory of what the totals were, under the epoch
-//! that each answer carries. All times are seconds of one steady clock; bounds are given by the constants.
+//! Each gateway tells the sum of all that it ever added to a name, so a word that is lost, or told twice, mends
+//! itself. A new holder begins with nothing and is told by the gateways what they had told the one before
+//! ([`told`]); until that is whole it has no totals. All times are seconds of one steady clock; bounds are given by
+//! the constants.
 
+pub mod own;
 pub mod silence;
+pub mod told;
 
 use silence::Silence;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
+use told::Gathering;
 
 /// A machine among the system's own: its address as a number.
 pub type Node = u32;
@@ -32,15 +37,28 @@
     names: HashMap<u64, Name>,
     silence: Silence,
     clear_at: f64,
+    gathering: Gathering,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// One process of a gateway: its address, and a number that another start of it does not have.
+pub type Life = (Node, u32);
+
+#[derive(Clone, Debug)]
 struct Name {
+    sums: BTreeMap<Life, f64>,
+    /// What was counted under the holder before, by gateways that are not there to tell it.
+    lost: f64,
     total: f64,
     born: f64,
     until: f64,
 }
 
+impl Name {
+    fn new(now: f64) -> Name {
+        Name { sums: BTreeMap::new(), lost: 0.0, total: 0.0, born: now, until: now }
+    }
+}
+
 /// The customer of a name.
 pub fn customer(name: u64) -> u64 {
     name >> 24
@@ -52,7 +70,7 @@
 }
 
 impl Counters {
-    /// Empty counters of one epoch.
+    /// Counters of one epoch, which are to be told what was counted before it.
     pub fn new(epoch: u64) -> Counters {
         let silence = Silence::default();
         Counters {
@@ -61,6 +79,7 @@
             names: HashMap::new(),
             silence,
             clear_at: f64::NEG_INFINITY,
+            gathering: Gathering::default(),
         }
     }
 
@@ -85,27 +104,35 @@
         self.silence.quota(customer, rate);
     }
 
-    /// Adds `amount` (0 only asks, below 0 takes back) to the name for a gateway. The name expires `life`
-    /// seconds after its last use. Returns the total after the add, with what silent gateways are presumed to
-    /// have used since they were heard last. An amount that is no number counts as 0.
-    pub fn add(&mut self, now: f64, from: Node, name: u64, amount: f64, life: f64) -> f64 {
-        self.heard(now, from);
-        let (now, amount) = (self.now, if amount.is_finite() { amount } else { 0.0 });
-        if of_use(name) {
-            self.silence.used(now, from, customer(name), amount);
-        }
+    /// Takes note of the sum of all that a gateway's process ever added to the name; the name expires `life` seconds
+    /// after its last use. Returns the total with it, with what silent gateways are presumed to have used since they
+    /// were heard last. A sum that is no number changes nothing.
+    pub fn put(&mut self, now: f64, from: Life, name: u64, sum: f64, life: f64) -> f64 {
+        self.heard(now, from.0);
+        let now = self.now;
         if self.names.len() >= NAMES_MOST && !self.names.contains_key(&name) {
             self.make_room();
         }
-        let fresh = Name { total: 0.0, born: now, until: now };
-        let kept = self.names.entry(name).or_insert(fresh);
+        let kept = self.names.entry(name).or_insert_with(|| Name::new(now));
         if kept.until < now {
-            *kept = fresh;
+            *kept = Name::new(now);
+        }
+        let room = kept.sums.len() < silence::NODES_MOST || kept.sums.contains_key(&from);
+        let mut more = 0.0;
+        if sum.is_finite() && room {
+            more = sum - kept.sums.insert(from, sum).unwrap_or(0.0);
+            kept.total += more;
         }
-        kept.total += amount;
         kept.until = now + if life.is_finite() { life.clamp(0.0, LIFE_MOST) } else { 0.0 };
-        let (total, born) = (kept.total, kept.born);
-        total + if of_use(name) { self.silence.presumed(now, customer(name), born) } else { 0.0 }
+        if of_use(name) {
+            self.silence.used(now, from.0, customer(name), more);
+        }
+        self.total(name)
+    }
+
+    /// The total of a name as of the last call; 0 if there is none.
+    pub fn total(&self, name: u64) -> f64 {
+        self.names.get(&name).map_or(0.0, |kept| kept.total) + self.presumed(name)
     }
 
     /// What silent gateways are presumed to have used of the name by now, units.
--- /dev/null
+++ b/nectar/src/own.rs
@@ -0,0 +1,65 @@
+//! A gateway's side of the counters: the sums of what it added to each name, told whole at each call.
+
+use crate::told::Told;
+use std::collections::HashMap;
+
+/// Most names kept; past it, those nearest to their end go.
+const NAMES_MOST: usize = 20_000;
+
+/// Seconds between two clearings of names that nobody counts any more.
+const CLEAR: f64 = 1.0;
+
+/// What this process added, by name.
+#[derive(Debug, Default)]
+pub struct Own {
+    names: HashMap<u64, Sum>,
+    clear_at: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sum {
+    told: Told,
+    until: f64,
+}
+
+impl Own {
+    /// Adds to a name that is kept for `life` seconds from now; returns the sum to tell.
+    pub fn add(&mut self, now: f64, name: u64, amount: f64, life: f64) -> f64 {
+        if now >= self.clear_at || self.names.len() >= NAMES_MOST {
+            self.clear_at = now + CLEAR;
+            self.names.retain(|_, s| s.until >= now);
+            if self.names.len() >= NAMES_MOST {
+                let first = self.names.iter().min_by(|a, b| a.1.until.total_cmp(&b.1.until)).map(|n| *n.0);
+                first.and_then(|n| self.names.remove(&n));
+            }
+        }
+        let none = Sum { told: Told { name, sum: 0.0, within: 0.0, total: 0.0, life }, until: now };
+        let s = self.names.entry(name).or_insert(none);
+        s.told.sum += amount;
+        (s.told.life, s.until) = (life, now + life);
+        s.told.sum
+    }
+
+    /// An amount was not counted, and is going to be added again.
+    pub fn undo(&mut self, name: u64, amount: f64) {
+        if let Some(s) = self.names.get_mut(&name) {
+            s.told.sum -= amount;
+        }
+    }
+
+    /// A total with the sum that was told for it.
+    pub fn total(&mut self, name: u64, within: f64, total: f64) {
+        if let Some(s) = self.names.get_mut(&name) {
+            (s.told.within, s.told.total) = (within, total);
+        }
+    }
+
+    /// All that a new holder has to know, by name.
+    pub fn told(&self, now: f64) -> Vec<Told> {
+        let live =
+            self.names.values().filter(|s| s.until >= now && (s.told.sum != 0.0 || s.told.total != 0.0));
+        let mut told: Vec<Told> = live.map(|s| s.told).collect();
+        told.sort_unstable_by_key(|t| t.name);
+        told
+    }
+}
--- /dev/null
+++ b/nectar/src/told.rs
@@ -0,0 +1,90 @@
+//! How a new holder's counters become whole: gateways tell what they had told the one before.
+//!
+//! Each tells, of each name, its own sum now, the last total that it was told, and what its sum was in that total.
+//! The largest total less the sums within it is what gateways had added that do not tell: it stays counted as
+//! lost, and those that are known to be there somewhere are presumed to go on with that part ([`crate::silence`]).
+
+use crate::silence::NODES_MOST;
+use crate::{customer, of_use, Counters, Life, Node};
+use std::collections::{BTreeSet, HashMap};
+
+/// What one gateway tells of one name.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Told {
+    pub name: u64,
+    /// All that it ever added, units.
+    pub sum: f64,
+    /// What of that was in the last total that it was told.
+    pub within: f64,
+    /// That total; 0 before the first.
+    pub total: f64,
+    /// Seconds that the name is kept after its last use.
+    pub life: f64,
+}
+
+/// Who told what.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Gathering {
+    told: BTreeSet<Node>,
+    /// By name of use, until the counters are whole: the largest total, and the sums within the totals.
+    before: HashMap<u64, (f64, f64)>,
+    whole: bool,
+}
+
+impl Counters {
+    /// Whether totals are those of all, and not of those alone that were heard so far.
+    pub fn whole(&self) -> bool {
+        self.gathering.whole
+    }
+
+    /// Whether a gateway has told what there was before.
+    pub fn told(&self, node: Node) -> bool {
+        self.gathering.told.contains(&node)
+    }
+
+    /// Whether any gateway has.
+    pub fn any_told(&self) -> bool {
+        !self.gathering.told.is_empty()
+    }
+
+    /// What a gateway had told the holder before, from itself: to be heard ahead of its first sum. Of one that tells
+    /// late, what was taken for lost is counted no more.
+    pub fn tell(&mut self, now: f64, from: Life, told: &[Told]) {
+        for t in told {
+            self.put(now, from, t.name, t.sum, t.life);
+        }
+        self.heard(now, from.0);
+        let first = self.gathering.told.len() < NODES_MOST && self.gathering.told.insert(from.0);
+        let sound = |t: &&Told| first && of_use(t.name) && t.total.is_finite() && t.within.is_finite();
+        for t in told.iter().filter(sound) {
+            match (self.gathering.whole, self.names.get_mut(&t.name)) {
+                (true, Some(kept)) => {
+                    let found = t.within.clamp(0.0, kept.lost);
+                    (kept.lost, kept.total) = (kept.lost - found, kept.total - found);
+                }
+                _ => {
+                    let (total, within) = self.gathering.before.entry(t.name).or_default();
+                    (*total, *within) = (total.max(t.total), *within + t.within);
+                }
+            }
+        }
+    }
+
+    /// From here on totals count. `missing`: gateways that are known and did not tell; they may go on out of sight.
+    pub fn close(&mut self, now: f64, missing: &[Node]) {
+        self.tick(now);
+        if std::mem::replace(&mut self.gathering.whole, true) {
+            return;
+        }
+        let missing: Vec<Node> = missing.iter().copied().filter(|n| !self.told(*n)).collect();
+        missing.iter().for_each(|&n| self.silence.heard(self.now, n));
+        for (name, (total, within)) in std::mem::take(&mut self.gathering.before) {
+            let lost = (total - within).max(0.0);
+            if let Some(kept) = self.names.get_mut(&name) {
+                (kept.lost, kept.total) = (lost, kept.total + lost);
+            }
+            let each = lost / missing.len().max(1) as f64;
+            missing.iter().for_each(|&n| self.silence.used(self.now, n, customer(name), each));
+        }
+    }
+}
--- a/nectar/tests/model.rs
+++ b/nectar/tests/model.rs
@@ -1,7 +1,49 @@
 //! The counters against slow plain models: a log of all adds, and a fleet whose true use is known.
 
 use lupinledge_nectar::silence::{MEMORY, SILENT};
-use lupinledge_nectar::{Counters, NAMES_MOST};
+use lupinledge_nectar::told::Told;
+use lupinledge_nectar::{Counters, Node, NAMES_MOST};
+use std::collections::HashMap;
+use std::ops::{Deref, DerefMut};
+
+/// Counters that are whole, with gateways that keep their sums and tell adds.
+#[derive(Clone)]
+struct Fleet {
+    counters: Counters,
+    sums: HashMap<u64, (f64, HashMap<Node, f64>)>,
+}
+
+impl Fleet {
+    fn new(epoch: u64) -> Fleet {
+        let mut counters = Counters::new(epoch);
+        counters.close(f64::NEG_INFINITY, &[]);
+        Fleet { counters, sums: HashMap::new() }
+    }
+
+    fn add(&mut self, now: f64, from: Node, name: u64, amount: f64, life: f64) -> f64 {
+        let (until, sums) = self.sums.entry(name).or_default();
+        if *until < now {
+            sums.clear();
+        }
+        *until = now + life;
+        let sum = sums.entry(from).or_default();
+        *sum += amount;
+        self.counters.put(now, (from, 1), name, *sum, life)
+    }
+}
+
+impl Deref for Fleet {
+    type Target = Counters;
+    fn deref(&self) -> &Counters {
+        &self.counters
+    }
+}
+
+impl DerefMut for Fleet {
+    fn deref_mut(&mut self) -> &mut Counters {
+        &mut self.counters
+    }
+}
 
 const CUSTOMER: u64 = 77;
 const NAME: u64 = CUSTOMER << 24 | 6;
@@ -28,7 +70,7 @@
 fn totals_are_exact_while_nobody_is_silent() {
     bolero::check!().with_type::<u64>().with_iterations(300).for_each(|seed| {
         let mut r = fastrand::Rng::with_seed(*seed);
-        let (mut counters, mut log, mut now) = (Counters::new(3), Vec::new(), 50.0 * r.f64());
+        let (mut counters, mut log, mut now) = (Fleet::new(3), Vec::new(), 50.0 * r.f64());
         counters.quota(0, 100.0);
         counters.quota(1, 1.0);
         for _ in 0..200 {
@@ -83,7 +125,7 @@
             Gateway { demand, cut, back: None, part: None, owed: 0.0 }
         };
         let mut fleet: Vec<Gateway> = (0..r.usize(2..9)).map(|_| gateway(&mut r)).collect();
-        let (mut counters, mut log, mut used) = (Counters::new(1), Vec::new(), 0.0);
+        let (mut counters, mut log, mut used) = (Fleet::new(1), Vec::new(), 0.0);
         counters.quota(CUSTOMER, rate);
         for now in (0..400).map(|i| i as f64 * STEP) {
             let away = |g: &Gateway| g.cut.is_some_and(|(from, to)| now >= from && now < to);
@@ -135,7 +177,7 @@
 }
 
 /// Steady use: gateway n uses 10 n a second.
-fn steady(counters: &mut Counters, from: f64, to: f64, talking: &[u32]) -> f64 {
+fn steady(counters: &mut Fleet, from: f64, to: f64, talking: &[u32]) -> f64 {
     let (mut now, mut told) = (from, 0.0);
     while now < to {
         talking.iter().for_each(|&n| told = counters.add(now, n, NAME, n as f64 * 10.0 * 0.05, 60.0));
@@ -146,7 +188,7 @@
 
 #[test]
 fn a_silent_ones_part_goes_on_until_it_is_heard() {
-    let mut c = Counters::new(1);
+    let mut c = Fleet::new(1);
     c.quota(CUSTOMER, 100.0);
     let before = steady(&mut c, 0.0, 20.0, &[1, 2, 3, 4]);
     assert_eq!(c.presumed(NAME), 0.0);
@@ -176,7 +218,7 @@
 
 #[test]
 fn silent_ones_never_have_more_than_the_whole() {
-    let mut c = Counters::new(1);
+    let mut c = Fleet::new(1);
     c.quota(CUSTOMER, 100.0);
     steady(&mut c, 0.0, 10.0, &[1, 2, 3, 4]);
     let (mut at, mut talking) = (10.0, vec![1, 2, 3, 4, 9]);
@@ -195,7 +237,7 @@
 
 #[test]
 fn an_own_pause_is_nobodys_silence() {
-    let mut c = Counters::new(1);
+    let mut c = Fleet::new(1);
     c.quota(CUSTOMER, 100.0);
     steady(&mut c, 0.0, 10.0, &[1, 2]);
     let before = c.add(10.0, 1, NAME, 0.0, 60.0);
@@ -209,14 +251,14 @@
         c.tick(14.9 + 0.25 * i as f64);
     }
     assert!(c.presumed(NAME) > 0.0);
-    c.add(3.0, 1, NAME, f64::NAN, f64::NAN); // a clock that went back, figures that are none
+    c.put(3.0, (1, 1), NAME, f64::NAN, f64::NAN); // a clock that went back, figures that are none
     c.tick(f64::NAN);
     assert!(c.presumed(NAME).is_finite());
 }
 
 #[test]
 fn names_are_bounded_and_those_in_use_stay() {
-    let mut c = Counters::new(1);
+    let mut c = Fleet::new(1);
     for i in 0..NAMES_MOST as u64 + 5000 {
         c.add(i as f64 * 1e-5, 1, i << 24, 1.0, 60.0);
         if i % 1000 == 0 {
@@ -227,3 +269,60 @@
     c.tick(1000.0);
     assert!(c.is_empty());
 }
+
+/// A holder is lost, and with it or not some gateways; the next is told what there was. With all there, totals go
+/// on to the unit, and words that are told twice change nothing; what those that are not there had told stays
+/// counted, is taken off again as they come back, and their part goes on meanwhile.
+#[test]
+fn a_new_holder_goes_on_from_what_gateways_tell() {
+    bolero::check!().with_type::<u64>().with_iterations(300).for_each(|seed| {
+        let mut r = fastrand::Rng::with_seed(*seed);
+        let (gateways, mut now) = (r.u32(2..9), 0.0);
+        let (mut old, mut own, mut all) = (Counters::new(1), HashMap::<u32, Told>::new(), 0.0);
+        old.close(0.0, &[]);
+        old.quota(CUSTOMER, 100.0);
+        for _ in 0..r.u32(20..200) {
+            now += 0.01;
+            (1..=gateways).for_each(|n| old.heard(now, n));
+            let (node, amount) = (r.u32(1..=gateways), r.u8(0..3) as f64);
+            let none = Told { name: NAME, sum: 0.0, within: 0.0, total: 0.0, life: 60.0 };
+            let t = own.entry(node).or_insert(none);
+            t.sum += amount;
+            all += amount;
+            (t.total, t.within) = (old.put(now, (node, 1), NAME, t.sum, 60.0), t.sum);
+            assert_eq!(t.total, all);
+        }
+        let gone: Vec<u32> = (1..=gateways).filter(|_| r.u8(0..3) == 0).collect();
+        let away: f64 = gone.iter().filter_map(|n| own.get(n)).map(|t| t.sum).sum();
+        // the newest total is known to one that is there, or there is nothing to know it by
+        let known = own.iter().filter(|(n, _)| !gone.contains(n)).map(|(_, t)| t.total).fold(0.0, f64::max);
+        let within: f64 = all - away;
+        let mut new = Counters::new(2);
+        new.quota(CUSTOMER, 100.0);
+        for n in (1..=gateways).filter(|n| !gone.contains(n)) {
+            let told: Vec<Told> = own.get(&n).copied().into_iter().collect();
+            (0..r.u8(1..3)).for_each(|_| new.tell(now, (n, 1), &told));
+            assert!(new.told(n) && !new.whole());
+        }
+        new.close(now, &gone);
+        let first = gateways + 1;
+        let total = new.put(now, (first, 1), NAME, 0.0, 60.0);
+        assert_eq!(total, within.max(known), "{gone:?}, {own:?}");
+        if !gone.is_empty() && known > within {
+            for i in 1..=20 {
+                (1..=gateways + 1)
+                    .filter(|n| !gone.contains(n))
+                    .for_each(|n| new.heard(now + 0.1 * i as f64, n));
+                new.tick(now + 0.1 * i as f64);
+            }
+            let presumed = new.presumed(NAME);
+            assert!(presumed > 0.0 && presumed <= 100.0 * 2.0 + 1e-6, "{presumed}");
+        }
+        // back, with what they had told and no more: nothing is counted twice
+        now += 2.0;
+        gone.iter()
+            .for_each(|n| new.tell(now, (*n, 1), &own.get(n).copied().into_iter().collect::<Vec<_>>()));
+        let total = new.put(now, (first, 1), NAME, 0.0, 60.0);
+        assert!((total - all).abs() < 1e-6, "{total} counted, {all} sent; {gone:?}, {own:?}");
+    });
+}
--- a/wax/src/word.rs
+++ b/wax/src/word.rs
@@ -30,15 +30,31 @@
         /// Members of the core that count.
         roll: Vec<Node>,
     },
-    /// To the holder: add these amounts to these counters.
+    /// To the holder: these are the sums of what I added to these counters.
     #[serde(rename = "c")]
     Count {
         /// Comes back with the answer.
         tag: u64,
-        /// Name, amount, and for how many seconds after its last use the name is kept.
+        /// Another start of the sender has another one.
+        life: u32,
+        /// Name, sum, and for how many seconds after its last use the name is kept.
         calls: Vec<(u64, f64, f32)>,
     },
-    /// The totals after the calls were added.
+    /// From a new holder: I hold the counters under this epoch; tell me what you had told.
+    #[serde(rename = "h")]
+    Hold {
+        /// The duty's epoch.
+        epoch: u64,
+    },
+    /// To a new holder, ahead of the first count.
+    #[serde(rename = "o")]
+    Told {
+        /// As in counts.
+        life: u32,
+        /// Of each name: the sum, what of it was in the last total, that total, and the name's life.
+        told: Vec<(u64, f64, f64, f64, f32)>,
+    },
+    /// The totals with the sums that were told.
     #[serde(rename = "t")]
     Counted {
         /// Number of the question.
--- a/wax/tests/words.rs
+++ b/wax/tests/words.rs
@@ -58,7 +58,9 @@
             list: Some(((1, 2), vec![0; 300].into())),
             roll: vec![1, 2, 3],
         },
-        Word::Count { tag: 1, calls: vec![(5, 1.0, 8.0)] },
+        Word::Count { tag: 1, life: 9, calls: vec![(5, 1.0, 8.0)] },
+        Word::Hold { epoch: 4 },
+        Word::Told { life: 9, told: vec![(5, 2.0, 1.0, 7.0, 8.0)] },
         Word::Counted { tag: 1, epoch: 3, totals: vec![] },
         Word::ClockIs { sent: 1.0, hive: 2.0 },
     ];
@@ -110,8 +112,10 @@
 
 #[test]
 fn spoiled_words_are_read_without_a_panic() {
-    let good =
-        [bytes(&Word::Probe(packet(2))), bytes(&Word::Count { tag: 1, calls: vec![(5, 1.0, 8.0); 4] })];
+    let good = [
+        bytes(&Word::Probe(packet(2))),
+        bytes(&Word::Count { tag: 1, life: 9, calls: vec![(5, 1.0, 8.0); 4] }),
+    ];
     bolero::check!().exhaustive().with_generator(0u64..10_000).for_each(|seed| {
         let mut chance = Chance(*seed);
         let mut bytes = good[chance.below(2)].clone();
