Waggle: whom news go to and when to ask for them, as a state machine without I/O

Cause: what a process does with news (whom it passes them to, whom it asks, what it holds) sat between the sockets of dance, where no model test could drive it, and the hive has the same a second time.

Change: `Spread` (waggle) owns the swarm and what is held. It is given the time and what was heard, and hands back what is new and what to send; dance keeps the clock, the links and the host. Three sources are told apart: a peer, this process as the origin, this process that settled it with others (a core member by agreement: it must not send as if it were the origin, bytes between regions are priced). Core members get no documents by news.

A peer is asked again after 0.3 s each for itself; before, only the one asked last was remembered, and two that took turns were asked at each probe.

The wake-up of dance is moved forward when something heard or told makes a probe due earlier, as the hive did. `roll` in Word::News was read by nobody: dropped.

--- a/dance/src/lib.rs
+++ b/dance/src/lib.rs
@@ -2,17 +2,17 @@
 //! few, and mends gaps by comparing digests. Both programs dance the same way; what they do with what they hear is
 //! theirs ([`Host`]).
 //!
-//! The decisions are in `lupinledge-waggle`; here are the clock, the links and what is held.
+//! The decisions are in `lupinledge-waggle`; here are the clock and the links.
 
 pub mod cli;
-mod held;
 pub mod log;
 pub mod settings;
 
-pub use held::{Held, News};
 use lupinledge_propolis::Settings;
-use lupinledge_waggle::{self as waggle, Card, Digest, Member, Standing, Swarm};
+use lupinledge_waggle::{self as waggle, Card, Said, Sends, Spread, Swarm, Turn};
+pub use lupinledge_waggle::{Held, News, Source};
 use lupinledge_wax::{Node, Post, Word};
+use serde_bytes::ByteBuf;
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::{Rc, Weak};
@@ -25,26 +25,22 @@
     fn news(&self, news: News);
     /// Another word, not one of the dance.
     fn word(&self, from: Node, word: Word);
+    /// Any word came from that process; called before anything else is made of it.
+    fn lives(&self, _from: Node) {}
 }
 
-/// Pieces of news go to so many in each other region, and to so many in the own one.
-const ABROAD: usize = 2;
-const NEAR: usize = 4;
-
-/// The same peer is asked again for what it is ahead in after so long.
-const ASK_AGAIN: f64 = 0.3;
+/// Wake-ups are moved forward only by more than so many seconds.
+const SOON: f64 = 0.002;
 
 /// One process among the others.
 pub struct Dance {
     me: Node,
-    region: String,
     began: Instant,
     post: Rc<Post>,
-    swarm: RefCell<Swarm>,
-    held: RefCell<Held>,
+    spread: RefCell<Spread>,
     host: RefCell<Option<Weak<dyn Host>>>,
-    /// Whom was asked last for news, and when.
-    asked: Cell<(Node, f64)>,
+    /// When the spread is to be called next.
+    due: Cell<f64>,
     woken: Notify,
 }
 
@@ -89,13 +85,11 @@
         let post = Post::open(me, settings.port_range.0, on_word)?;
         let dance = Rc::new(Dance {
             me,
-            region: settings.region.clone(),
             began: Instant::now(),
             post,
-            swarm: RefCell::new(Swarm::new(0.0, swarm)),
-            held: RefCell::new(Held::new(takes_state)),
+            spread: RefCell::new(Spread::new(0.0, swarm, takes_state)),
             host: RefCell::new(None),
-            asked: Cell::new((0, f64::MIN)),
+            due: Cell::new(0.0),
             woken: Notify::new(),
         });
         *me_again.borrow_mut() = Rc::downgrade(&dance);
@@ -124,78 +118,66 @@
 
     /// Looks at the others.
     pub fn with<T>(&self, look: impl FnOnce(&Swarm) -> T) -> T {
-        look(&self.swarm.borrow())
+        look(self.spread.borrow().swarm())
     }
 
     /// What is held now.
     pub fn held<T>(&self, look: impl FnOnce(&Held) -> T) -> T {
-        look(&self.held.borrow())
+        look(self.spread.borrow().held())
+    }
+
+    /// Bytes of documents and lists sent so far.
+    pub fn news_sent(&self) -> u64 {
+        self.spread.borrow().sent()
     }
 
     /// Tells of this process itself from now on.
     pub fn set_card(&self, change: impl FnOnce(&mut Card)) {
-        let mut card = self.swarm.borrow().card().clone();
-        change(&mut card);
-        if card != *self.swarm.borrow().card() {
-            self.swarm.borrow_mut().set_card(card);
+        if self.spread.borrow_mut().set_card(change) {
             self.woken.notify_one();
         }
     }
 
     /// Largest number of edge nodes that were there at once over the last so many seconds.
     pub fn edges(&self, span: f64) -> usize {
-        self.swarm.borrow().most_edges(self.now(), span)
+        self.with(|s| s.most_edges(self.now(), span))
     }
 
     /// Does what is due, for good.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let wait = self.swarm.borrow().next_wake() - self.now();
+            let wait = self.due.get() - self.now();
             tokio::select! {
                 biased;
                 _ = tokio::time::sleep(Duration::from_secs_f64(wait.clamp(0.001, 1.0))) => {}
                 _ = self.woken.notified() => {}
             }
-            let out = self.swarm.borrow_mut().tick(self.now());
-            self.cast(out);
-            self.ask();
+            let out = self.spread.borrow_mut().tick(self.now());
+            self.due.set(self.spread.borrow().next_wake());
+            self.send(out);
         }
     }
 
-    fn cast(&self, out: Vec<(Node, waggle::Packet)>) {
-        out.into_iter().for_each(|(to, p)| self.post.cast(to, &Word::Probe(p)));
-    }
-
     fn heard(&self, from: Node, word: Word) {
-        match word {
-            Word::Probe(p) if p.from == from => {
-                let out = self.swarm.borrow_mut().heard(self.now(), p);
-                self.cast(out);
-                // the holder's epoch travels in digests alone
-                let digests: Vec<Digest> =
-                    self.with(|s| s.member(from).map(|m| m.digest).into_iter().collect());
-                for d in digests {
-                    self.take(from, News { epoch: Some((d.epoch, d.holder)), ..News::default() });
-                }
-                self.ask();
-            }
-            Word::Probe(_) => {}
-            Word::Want(digest) => {
-                let word = self.held.borrow().beyond(&digest);
-                word.into_iter().for_each(|w| self.post.send(from, &w));
-            }
-            Word::News { digest, state, list, .. } => {
-                let state = state.map(|(stamp, bytes)| (stamp, Rc::from(bytes.into_vec())));
-                let list = list.map(|(number, bytes)| (number, Rc::from(bytes.into_vec())));
-                self.take(from, News { epoch: Some((digest.epoch, digest.holder)), state, list });
-            }
+        self.to_host(|h| h.lives(from));
+        let bytes = |b: ByteBuf| Rc::from(b.into_vec());
+        let said = match word {
+            Word::Probe(packet) => Said::Probe(packet),
+            Word::Want(digest) => Said::Want(digest),
+            Word::News { digest, state, list } => Said::News {
+                digest,
+                state: state.map(|(n, b)| (n, bytes(b))),
+                list: list.map(|(n, b)| (n, bytes(b))),
+            },
             // ahead of the digests, so that the counters are out of reach for as short as can be
             Word::Hold { epoch } => {
-                self.take(from, News { epoch: Some((epoch, from)), ..News::default() });
-                self.to_host(|h| h.word(from, Word::Hold { epoch }));
+                self.tell(News { epoch: Some((epoch, from)), ..News::default() }, Source::Settled);
+                return self.to_host(|h| h.word(from, Word::Hold { epoch }));
             }
-            other => self.to_host(|h| h.word(from, other)),
-        }
+            other => return self.to_host(|h| h.word(from, other)),
+        };
+        let turn = self.spread.borrow_mut().heard(self.now(), from, said);
+        self.done(turn);
     }
 
     fn to_host(&self, call: impl FnOnce(&dyn Host)) {
@@ -205,56 +187,33 @@
         }
     }
 
-    /// Something that this process has settled itself or heard in another way.
-    pub fn tell(&self, news: News) {
-        self.take(self.me, news);
-    }
-
-    /// Keeps what is newer, tells the host, and passes it on.
-    fn take(&self, from: Node, news: News) {
-        let Some(fresh) = self.held.borrow_mut().take(from == self.me, news) else { return };
-        let digest = self.held.borrow().digest();
-        self.swarm.borrow_mut().set_digest(digest);
-        self.pass_on(from, &fresh);
-        self.to_host(|h| h.news(fresh));
+    /// Something that this process has settled itself or heard in another way. Its host hears of it like of any
+    /// other news.
+    pub fn tell(&self, news: News, from: Source) {
+        let turn = self.spread.borrow_mut().tell(news, from);
+        self.done(turn);
     }
 
-    /// Its origin sends news to a few in each region, those to a few near them; digests mend the rest.
-    fn pass_on(&self, from: Node, news: &News) {
-        if news.state.is_none() && news.list.is_none() {
-            return; // an epoch alone rides on the probes
+    fn done(&self, (fresh, out): Turn) {
+        let next = self.spread.borrow().next_wake();
+        if next < self.due.replace(next) - SOON {
+            self.woken.notify_one();
         }
-        let word = self.held.borrow().word(news);
-        let mut to: Vec<Node> = Vec::new();
-        {
-            let mut swarm = self.swarm.borrow_mut();
-            let there = |m: &Member| m.standing != Standing::Gone && m.node != from;
-            let near = |m: &Member| there(m) && m.card.region == self.region;
-            if from == self.me {
-                let mut regions: Vec<String> = swarm.members().map(|m| m.card.region.clone()).collect();
-                regions.sort();
-                regions.dedup();
-                for r in regions.iter().filter(|r| **r != self.region) {
-                    to.extend(swarm.few(ABROAD, |m| there(m) && !m.card.core && m.card.region == *r));
+        self.send(out);
+        fresh.into_iter().for_each(|fresh| self.to_host(|h| h.news(fresh)));
+    }
+
+    fn send(&self, out: Sends) {
+        for (to, said) in out {
+            match said {
+                Said::Probe(packet) => self.post.cast(to, &Word::Probe(packet)),
+                Said::Want(digest) => self.post.send(to, &Word::Want(digest)),
+                Said::News { digest, state, list } => {
+                    let bytes = |b: Rc<[u8]>| ByteBuf::from(b.to_vec());
+                    let (state, list) = (state.map(|(n, b)| (n, bytes(b))), list.map(|(n, b)| (n, bytes(b))));
+                    self.post.send(to, &Word::News { digest, state, list });
                 }
-                to.extend(swarm.few(usize::MAX, |m| there(m) && m.card.core));
             }
-            to.extend(swarm.few(NEAR, |m| near(m) && !m.card.core));
-        }
-        to.sort_unstable();
-        to.dedup();
-        to.into_iter().for_each(|n| self.post.send(n, &word));
-    }
-
-    /// Asks a peer that was heard to be ahead.
-    fn ask(&self) {
-        let Some((peer, digest)) = self.swarm.borrow_mut().ahead() else { return };
-        let (own, now) = (self.held.borrow().digest(), self.now());
-        let lacks = self.held.borrow().lacks(&digest);
-        let (last, at) = self.asked.get();
-        if lacks && !(last == peer && now - at < ASK_AGAIN) {
-            self.asked.set((peer, now));
-            self.post.send(peer, &Word::Want(own));
         }
     }
 }
--- a/hive/src/news.rs
+++ b/hive/src/news.rs
@@ -83,12 +83,11 @@
         let list = self.list_since(told.list);
         let state = self.state_since(told.state);
         let (cores, edges) = self.receivers();
-        let roll = self.agree.roll();
         self.count(cores.len(), None, &list);
         self.count(edges.len(), state.as_ref().map(|s| &s.1), &list);
-        let to_core = Word::News { digest, state: None, list: list.clone(), roll: roll.clone() };
+        let to_core = Word::News { digest, state: None, list: list.clone() };
         cores.into_iter().for_each(|core| self.post.send(core, &to_core));
-        let to_edge = Word::News { digest, state, list, roll };
+        let to_edge = Word::News { digest, state, list };
         edges.into_iter().for_each(|edge| self.post.send(edge, &to_edge));
     }
 
@@ -116,10 +115,10 @@
         (cores, edges)
     }
 
-    fn state_since(&self, had: (u64, u64)) -> Option<(lupinledge_queen::Stamp, ByteBuf)> {
+    fn state_since(&self, had: (u64, u64)) -> Option<((u64, u64), ByteBuf)> {
         let agreed = self.agree.agreed()?;
         let newer = (agreed.stamp.epoch, agreed.stamp.index) > had;
-        newer.then(|| (agreed.stamp, agreed.bytes.clone()))
+        newer.then(|| ((agreed.stamp.epoch, agreed.stamp.index), agreed.bytes.clone()))
     }
 
     fn list_since(&self, had: (u64, u64)) -> Option<((u64, u64), ByteBuf)> {
@@ -137,7 +136,7 @@
     pub fn wanted(&self, from: Node, had: &Digest) {
         let (state, list) = (self.state_since(had.state), self.list_since(had.list));
         self.count(1, state.as_ref().map(|s| &s.1), &list);
-        self.post.send(from, &Word::News { digest: self.digest(), state, list, roll: self.agree.roll() });
+        self.post.send(from, &Word::News { digest: self.digest(), state, list });
     }
 
     /// Takes a list; documents come to the core by agreement alone.
--- a/waggle/src/hear.rs
+++ b/waggle/src/hear.rs
@@ -71,7 +71,7 @@
             match card {
                 Some(card) => {
                     if self.table.add(now, from, life, turn, card) {
-                        self.news.put(now, from, self.repeats(), true);
+                        self.talk.put(now, from, self.repeats(), true);
                         self.dirty = true;
                     }
                 }
@@ -102,7 +102,7 @@
         }
         let back = was == Standing::Gone && entry.member.standing == Standing::Alive;
         if news || with_card {
-            self.news.put(now, from, self.repeats(), with_card);
+            self.talk.put(now, from, self.repeats(), with_card);
         }
         if back {
             self.ways.hurry(now);
@@ -169,7 +169,7 @@
                         let added = self.table.add(now, word.node, word.life, word.turn, card);
                         // a piece is known to its teller and most others
                         if added && !piece {
-                            self.news.put(now, word.node, self.repeats(), true);
+                            self.talk.put(now, word.node, self.repeats(), true);
                         }
                         self.dirty |= added;
                     }
@@ -234,7 +234,7 @@
             self.ways.hurry(now);
         }
         if news || with_card {
-            self.news.put(now, word.node, self.repeats(), with_card);
+            self.talk.put(now, word.node, self.repeats(), with_card);
         }
     }
 
@@ -254,6 +254,6 @@
             // who gave this one up may have forgotten its card
             self.table.map.values_mut().for_each(|e| e.told = 0);
         }
-        self.news.put(now, self.set.me, self.repeats(), anew);
+        self.talk.put(now, self.set.me, self.repeats(), anew);
     }
 }
--- a/waggle/src/lib.rs
+++ b/waggle/src/lib.rs
@@ -2,18 +2,22 @@
 //!
 //! A [`Swarm`] is one process's view of all others. Its host gives it the time (seconds of a steady clock),
 //! what was heard, and sends what it hands back; see [`Swarm::tick`], [`Swarm::next_wake`] and
-//! [`Swarm::heard`].
+//! [`Swarm::heard`]. [`Spread`] adds what is held of the news, and whom it is passed on to.
 
 mod digest;
 mod edges;
 mod hear;
-mod news;
+mod held;
 mod probes;
+mod spread;
 mod swarm;
 mod table;
+mod talk;
 mod ways;
 mod words;
 
 pub use digest::Digest;
+pub use held::{Held, News, Number};
+pub use spread::{Said, Sends, Source, Spread, Turn, ABROAD, ASK_AGAIN, NEAR};
 pub use swarm::{Settings, Swarm};
 pub use words::{Body, Card, Member, Node, Packet, Rumour, Standing};
--- a/waggle/src/probes.rs
+++ b/waggle/src/probes.rs
@@ -162,14 +162,14 @@
             if now >= entry.due {
                 entry.stand(now, Standing::Gone);
                 self.dirty = true;
-                self.news.put(now, node, repeats, false);
+                self.talk.put(now, node, repeats, false);
                 continue;
             }
             entry.again = now + AGAIN;
             let own = !entry.open;
             if own && now >= entry.member.since + HUSH {
                 entry.open = true;
-                self.news.put(now, node, repeats, false);
+                self.talk.put(now, node, repeats, false);
             }
             asked += 1;
             if asked <= AT_ONCE {
--- /dev/null
+++ b/waggle/src/spread.rs
@@ -0,0 +1,191 @@
+//! What a process does with the others, decided without sockets or clock: it knows them by probes, passes news on to
+//! a few, and mends gaps by comparing digests. Its host gives it the time and what was heard, and sends what comes
+//! back.
+
+use crate::{Card, Digest, Held, Member, News, Node, Number, Packet, Settings, Swarm};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Pieces of news go to so many in each other region, and to so many in the own one.
+pub const ABROAD: usize = 2;
+pub const NEAR: usize = 4;
+
+/// The same peer is asked again for what it is ahead in after so many seconds.
+pub const ASK_AGAIN: f64 = 0.3;
+
+/// What processes say to each other.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    /// A datagram, which may get lost.
+    Probe(Packet),
+    /// Send me what is newer than this.
+    Want(Digest),
+    /// What is newer, or what was asked for.
+    News {
+        /// What the sender holds.
+        digest: Digest,
+        /// A committed document with its stamp.
+        state: Option<(Number, Rc<[u8]>)>,
+        /// A list of servers with its number.
+        list: Option<(Number, Rc<[u8]>)>,
+    },
+}
+
+/// Whom news come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// Another process. An edge node passes them on near itself; the core has its holder for that.
+    Peer(Node),
+    /// This process, as their origin: they go out to all regions.
+    Origin,
+    /// This process, which learnt them in a way that needs no passing on (a member of the core by agreement).
+    Settled,
+}
+
+/// Words and whom they are for.
+pub type Sends = Vec<(Node, Said)>;
+
+/// What this process has not held before, and what is to be sent for it.
+pub type Turn = (Option<News>, Sends);
+
+/// See the module.
+pub struct Spread {
+    swarm: Swarm,
+    held: Held,
+    /// Who was asked for news, and when.
+    asked: BTreeMap<Node, f64>,
+    sent: u64,
+}
+
+impl Spread {
+    /// Knows nobody and holds nothing yet. `takes_state`: documents come from others by news.
+    pub fn new(now: f64, settings: Settings, takes_state: bool) -> Spread {
+        let (swarm, held) = (Swarm::new(now, settings), Held::new(takes_state));
+        Spread { swarm, held, asked: BTreeMap::new(), sent: 0 }
+    }
+
+    /// Who is there.
+    pub fn swarm(&self) -> &Swarm {
+        &self.swarm
+    }
+
+    /// What is held.
+    pub fn held(&self) -> &Held {
+        &self.held
+    }
+
+    /// Bytes of documents and lists sent so far.
+    pub fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// When [`Spread::tick`] is to be called at the latest.
+    pub fn next_wake(&self) -> f64 {
+        self.swarm.next_wake()
+    }
+
+    /// What this process tells about itself from now on; whether that differs.
+    pub fn set_card(&mut self, change: impl FnOnce(&mut Card)) -> bool {
+        let mut card = self.swarm.card().clone();
+        change(&mut card);
+        let differs = card != *self.swarm.card();
+        if differs {
+            self.swarm.set_card(card);
+        }
+        differs
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: f64) -> Sends {
+        let mut out = probes(self.swarm.tick(now));
+        out.extend(self.ask(now));
+        out
+    }
+
+    /// Another process said this.
+    pub fn heard(&mut self, now: f64, from: Node, said: Said) -> Turn {
+        match said {
+            Said::Probe(packet) if packet.from == from => {
+                let mut out = probes(self.swarm.heard(now, packet));
+                let digest = self.swarm.member(from).map(|m| m.digest).unwrap_or_default();
+                let fresh = self.held.hear(&digest);
+                let (fresh, sends) = self.took(Source::Peer(from), fresh);
+                out.extend(sends);
+                out.extend(self.ask(now));
+                (fresh, out)
+            }
+            Said::Probe(_) => (None, Vec::new()),
+            Said::Want(digest) => {
+                let news = self.held.beyond(&digest);
+                let some = news != News::default();
+                (None, some.then(|| (from, self.say(&news, true))).into_iter().collect())
+            }
+            Said::News { digest, state, list } => {
+                let epoch = self.held.hear(&digest).epoch;
+                let fresh = self.held.take(false, News { epoch: None, state, list });
+                self.took(Source::Peer(from), News { epoch, ..fresh })
+            }
+        }
+    }
+
+    /// Something that this process has settled itself or heard in another way.
+    pub fn tell(&mut self, news: News, from: Source) -> Turn {
+        let fresh = self.held.take(true, news);
+        self.took(from, fresh)
+    }
+
+    fn took(&mut self, from: Source, fresh: News) -> Turn {
+        self.swarm.set_digest(self.held.digest());
+        let out = self.pass_on(from, &fresh);
+        ((fresh != News::default()).then_some(fresh), out)
+    }
+
+    /// Its origin sends news to a few in each region and to the core, edge nodes to a few near them; digests mend
+    /// the rest.
+    fn pass_on(&mut self, from: Source, news: &News) -> Sends {
+        let own = self.swarm.card().clone();
+        let wide = from == Source::Origin;
+        // an epoch alone rides on the probes
+        if news.state.is_none() && news.list.is_none() || !wide && (own.core || from == Source::Settled) {
+            return Vec::new();
+        }
+        let edge = |m: &Member| !m.card.core && from != Source::Peer(m.node);
+        let mut edges = self.swarm.few(NEAR, |m| edge(m) && m.card.region == own.region);
+        let mut cores = Vec::new();
+        if wide {
+            let mut regions: Vec<String> = self.swarm.members().map(|m| m.card.region.clone()).collect();
+            regions.sort_unstable();
+            regions.dedup();
+            for r in regions.iter().filter(|r| **r != own.region) {
+                edges.extend(self.swarm.few(ABROAD, |m| edge(m) && m.card.region == *r));
+            }
+            // documents come to the core by agreement
+            cores = self.swarm.few(if news.list.is_some() { usize::MAX } else { 0 }, |m| m.card.core);
+        }
+        let edges = edges.into_iter().map(|n| (n, true));
+        edges.chain(cores.into_iter().map(|n| (n, false))).map(|(n, all)| (n, self.say(news, all))).collect()
+    }
+
+    /// As a word, without the document if not `all`.
+    fn say(&mut self, news: &News, all: bool) -> Said {
+        let News { state, list, .. } = news.clone();
+        let state = state.filter(|_| all);
+        self.sent += state.iter().chain(&list).map(|p| p.1.len() as u64).sum::<u64>();
+        Said::News { digest: self.held.digest(), state, list }
+    }
+
+    /// Asks a peer that was heard to be ahead.
+    fn ask(&mut self, now: f64) -> Option<(Node, Said)> {
+        let (peer, digest) = self.swarm.ahead()?;
+        self.asked.retain(|_, at| now - *at < ASK_AGAIN);
+        if !self.held.lacks(&digest) || self.asked.contains_key(&peer) {
+            return None;
+        }
+        self.asked.insert(peer, now);
+        Some((peer, Said::Want(self.held.digest())))
+    }
+}
+
+fn probes(out: Vec<(Node, Packet)>) -> Sends {
+    out.into_iter().map(|(to, packet)| (to, Said::Probe(packet))).collect()
+}
--- a/waggle/src/swarm.rs
+++ b/waggle/src/swarm.rs
@@ -1,8 +1,8 @@
 //! One process's view of all others.
 
 use crate::edges::Edges;
-use crate::news::News;
 use crate::table::Table;
+use crate::talk::Talk;
 use crate::ways::Ways;
 use crate::{Card, Digest, Member, Node, Standing};
 use std::collections::VecDeque;
@@ -45,7 +45,7 @@
 pub struct Swarm {
     pub(crate) set: Settings,
     pub(crate) table: Table,
-    pub(crate) news: News,
+    pub(crate) talk: Talk,
     pub(crate) chance: fastrand::Rng,
     /// Last call with a time.
     pub(crate) last: f64,
@@ -76,7 +76,7 @@
         let mut swarm = Swarm {
             set,
             table: Table::default(),
-            news: News::default(),
+            talk: Talk::default(),
             chance,
             last: now,
             turn: 0,
@@ -98,7 +98,7 @@
         if self.set.card != card {
             self.set.card = card;
             self.issue += 1;
-            self.news.put(self.last, self.set.me, self.repeats(), true);
+            self.talk.put(self.last, self.set.me, self.repeats(), true);
             self.dirty = true;
         }
     }
--- a/waggle/src/news.rs
+++ b/waggle/src/talk.rs
@@ -16,7 +16,7 @@
 
 /// Whom to talk about, and how often yet.
 #[derive(Default)]
-pub(crate) struct News {
+pub(crate) struct Talk {
     queue: VecDeque<Item>,
 }
 
@@ -29,7 +29,7 @@
     until: f64,
 }
 
-impl News {
+impl Talk {
     /// There is news of this one: to be told so often, with its card or without.
     pub fn put(&mut self, now: f64, node: Node, repeats: u8, card: bool) {
         let old = self.queue.iter().position(|i| i.node == node).and_then(|i| self.queue.remove(i));
@@ -47,7 +47,7 @@
     pub(crate) fn drop_against(&mut self) {
         let table = &self.table.map;
         let alive = |i: &Item| table.get(&i.node).is_none_or(|e| e.member.standing == Standing::Alive);
-        self.news.queue.retain(alive);
+        self.talk.queue.retain(alive);
     }
 }
 
@@ -90,25 +90,25 @@
         let mut room = self.set.packet_most.saturating_sub(PACKET);
         room = room.saturating_sub(packet.card.as_ref().map_or(0, |c| card_bytes(&c.1)));
         room = room.saturating_sub(packet.rumours.len() * RUMOUR);
-        for _ in 0..self.news.queue.len() {
+        for _ in 0..self.talk.queue.len() {
             if room < RUMOUR {
                 break;
             }
-            let Some(mut item) = self.news.queue.pop_front() else { break };
+            let Some(mut item) = self.talk.queue.pop_front() else { break };
             if item.until < now {
                 continue;
             }
             let Some(word) = self.word_of(now, item.node, item.cards > 0) else { continue };
             let size = bytes(&word);
             if item.node == to || size > room {
-                self.news.queue.push_back(item);
+                self.talk.queue.push_back(item);
                 continue;
             }
             room -= size;
             packet.rumours.push(word);
             (item.left, item.cards) = (item.left.saturating_sub(1), item.cards.saturating_sub(1));
             if item.left > 0 {
-                self.news.queue.push_back(item);
+                self.talk.queue.push_back(item);
             }
         }
         (to, packet)
--- a/wax/src/word.rs
+++ b/wax/src/word.rs
@@ -1,7 +1,7 @@
 //! All that the own processes say to each other.
 
-use lupinledge_queen::{Msg, Stamp};
-use lupinledge_waggle::{Digest, Node, Packet};
+use lupinledge_queen::Msg;
+use lupinledge_waggle::{Digest, Number, Packet};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -24,11 +24,9 @@
         /// What the sender holds.
         digest: Digest,
         /// The newest committed document (MessagePack) with its stamp.
-        state: Option<(Stamp, ByteBuf)>,
+        state: Option<(Number, ByteBuf)>,
         /// The newest list of servers (MessagePack of [`crate::list::List`]) with its epoch and number.
-        list: Option<((u64, u64), ByteBuf)>,
-        /// Members of the core that count.
-        roll: Vec<Node>,
+        list: Option<(Number, ByteBuf)>,
     },
     /// To the holder: these are the sums of what I added to these counters.
     #[serde(rename = "c")]
