control: a second try goes to another server than the first

Cause: nothing in `pick` told the servers that a request has tried already from the others. One near server that is full, or answers 421, or refuses connections, was tried again and again as the nearest: on loopback, with one such server in the own region and a sound one in another, the first one to three requests ended refused after two tries at the same server. Ruled out: the budget of further tries (26 of 26 left), distrust (it comes after two failures, which are the two tries). Change: a server that has had the request costs a hundred times as much; it is still taken where it is alone. After: all twelve of twelve are served.

--- a/src/control.rs
+++ b/src/control.rs
@@ -193,7 +193,10 @@
             // whole credits: none at half distrust, then one as a trial; two elsewhere, whatever the limit
             let least = (distrust <= 0.5) as u32 + (distrust <= 0.2 && s.pace[i] <= 3.0) as u32;
             let left = s.out[i] as f64 + 1.0 <= credit.max(least as f64);
+            let again = self.reqs.at(slot).is_some_and(|r| r.tries.iter().any(|t| t.srv == i));
             let near = match self.terms.distance(s.zone[i]) {
+                // it has not taken this req a moment ago: any other one is likelier to
+                _ if again => 100.0,
                 // bytes between places are dear: others come when the own ones are clearly fuller
                 2 => 6.0,
                 1 if !self.terms.regions.is_empty() => 3.0,
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -286,6 +286,7 @@
 #[test_case("refund"; "what never came to a srv costs no budget")]
 #[test_case("patient"; "a late answer is worth a try while places are free")]
 #[test_case("region"; "another region is the last choice")]
+#[test_case("other"; "a second try goes to another srv")]
 #[test_case("far"; "a far counter is told and not waited for")]
 #[test_case("roll"; "a window's new name is no empty counter")]
 #[test_case("unseen"; "what others send meanwhile is reckoned by the own sends")]
