--- /dev/null
+++ b/forager/tests/rules/fleet.rs
@@ -0,0 +1,217 @@
+//! The real program on loopback, among stand-ins.
+
+use crate::hive::Hive;
+use crate::srv::{Srv, GOOD};
+use lupinledge_example::http::{Client, Message};
+use lupinledge_propolis::{Document, Settings};
+use lupinledge_wax::list::Row;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(15);
+
+/// Waits until something holds; fails when it never does.
+pub fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONG, "never: {what}");
+        sleep(Duration::from_millis(5));
+    }
+}
+
+/// An address that no other test has, nor the same test run beside this one.
+fn ip() -> Ipv4Addr {
+    static GIVEN: AtomicU32 = AtomicU32::new(1);
+    let (pid, nth) = (std::process::id(), GIVEN.fetch_add(1, Ordering::SeqCst));
+    let [.., mid, low] = (1 + pid % 0xfffe).to_be_bytes();
+    Ipv4Addr::new(127, mid, low, (nth % 255) as u8)
+}
+
+/// A program being started has open for a moment what this one has open, the sockets by which ports are looked for
+/// too: one at a time.
+static STARTING: Mutex<()> = Mutex::new(());
+
+/// Three ports, each free at both of these for both kinds of sockets.
+fn ports(at: [Ipv4Addr; 2]) -> [u16; 3] {
+    let mut free = Vec::new();
+    while free.len() < 3 {
+        let port = TcpListener::bind((at[0], 0)).and_then(|l| l.local_addr()).expect("a port").port();
+        let binds = |ip| TcpListener::bind((ip, port)).is_ok() && UdpSocket::bind((ip, port)).is_ok();
+        free.extend(Some(port).filter(|p| !free.contains(p) && at.into_iter().all(binds)));
+    }
+    [free[0], free[1], free[2]]
+}
+
+/// Two services and a third by which it is seen that a list has come.
+pub fn config() -> Value {
+    let rule = |prefix: &str, kind: &str, service: &str| {
+        let public = matches!(prefix, "/open/" | "/");
+        json!({"name": prefix, "route_kind": kind, "target_s": 1, "priority": 0, "public": public,
+               "match": {"path_prefix": prefix},
+               "action": {"service": service, "timeout_s": 5, "max_attempts": 2, "home_regions": []}})
+    };
+    let cluster = |n: &str| json!({"name": n, "max_conns": 100, "warmup_s": 20, "warmup_per_s": 1});
+    let tenant = |name: &str, key: &str, rate: u64, homes: &[&str]| json!({"name": name, "api_keys": [key], "rate_per_s": rate, "burst": rate, "home_regions": homes});
+    json!({
+        "version": "r1", "base_version": 0,
+        "tenants": [tenant("own", "key", 0, &[]), tenant("small", "small-key", 2, &[]),
+                    tenant("homed", "wold-key", 0, &["wold"])],
+        "listeners": [{"host": "a.example", "rules": [
+            rule("/read/", "idempotent", "a"), rule("/pay/", "non_idempotent", "a"),
+            rule("/open/", "idempotent", "a"), rule("/other/", "idempotent", "b")]},
+            {"host": "mark.example", "rules": [rule("/", "idempotent", "mark")]}],
+        "clusters": [cluster("a"), cluster("b"), cluster("mark")],
+    })
+}
+
+/// A document of this serial with a configuration and evacuated zones.
+pub fn document(serial: u64, config: &Value, evacuated: &[&str]) -> Document {
+    let evacuated = evacuated.iter().map(|z| z.to_string()).collect();
+    Document {
+        config: Some(config.to_string().into_bytes()),
+        version: serial,
+        evacuated,
+        serial,
+        taken: vec![],
+    }
+}
+
+/// A server in the list, ready and warm.
+pub fn row(s: &Srv, service: &str) -> Row {
+    let (id, zone) = (s.id.clone(), s.zone.to_string());
+    Row { id, service: service.into(), address: s.addr, zone, slots: 8, draining: false, warm_left: 0.0 }
+}
+
+/// A request of the key's tenant under an id of its own; `more` are whole header lines.
+pub fn req(line: &str, key: &str, more: &str, body: &str) -> (String, String) {
+    static GIVEN: AtomicU32 = AtomicU32::new(0);
+    let id = format!("at{:06}", GIVEN.fetch_add(1, Ordering::SeqCst));
+    let head = format!("{line} HTTP/1.1\r\nHost: a.example\r\nLupinledge-Attempt-Id: {id}\r\n");
+    let rest = format!("Authorization: Token {key}\r\n{more}Content-Length: {}\r\n\r\n{body}", body.len());
+    (id, head + &rest)
+}
+
+/// The program with its hive. Killed when dropped.
+pub struct Fleet {
+    child: Child,
+    pub hive: Hive,
+    pub ip: Ipv4Addr,
+    pub front: SocketAddr,
+    ready: SocketAddr,
+    path: std::path::PathBuf,
+    log: Arc<Mutex<String>>,
+    mark: Srv,
+    lists: AtomicU64,
+}
+
+impl Fleet {
+    /// Ready with these rows and the plain configuration.
+    pub fn start(rows: Vec<Row>) -> Fleet {
+        Fleet::with(rows, &config(), json!({}))
+    }
+
+    pub fn with(rows: Vec<Row>, config: &Value, bounds: Value) -> Fleet {
+        let (own, hive) = (ip(), ip());
+        let alone = STARTING.lock().unwrap_or_else(|e| e.into_inner());
+        let [peers, front, ready] = ports([own, hive]);
+        let settings = |ip: Ipv4Addr| {
+            json!({
+                "ip": ip, "zone": "mead-1", "region": "mead",
+                "zones": {"mead-1": "mead", "mead-2": "mead", "wold-1": "wold"},
+                "listen": {"front": format!("{own}:{front}"), "ready": format!("{own}:{ready}")},
+                "port_range": [peers, peers], "seeds": [format!("{hive}:{peers}")], "bounds": bounds,
+            })
+        };
+        let told = Settings::parse(settings(hive).to_string().as_bytes()).expect("the hive's settings");
+        let hive = Hive::start(told);
+        let path = std::env::temp_dir().join(format!("lupinledge-forager-{own}.json"));
+        std::fs::write(&path, settings(own).to_string()).expect("a settings file");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lupinledge-forager"))
+            .env("LUPINLEDGE_NODE_FILE", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program");
+        drop(alone);
+        let log: Arc<Mutex<String>> = Arc::default();
+        let (to, from) = (log.clone(), child.stderr.take().expect("its log"));
+        spawn(move || {
+            let lines = BufReader::new(from).lines().map_while(Result::ok);
+            lines.for_each(|l| *to.lock().unwrap() += &(l + "\n"));
+        });
+        let (front, ready) = ((own, front).into(), (own, ready).into());
+        let (mark, lists) = (Srv::start("mark", "mead-2", GOOD), AtomicU64::new(0));
+        let fleet = Fleet { child, hive, ip: own, front, ready, path, log, mark, lists };
+        fleet.follow(document(1, config, &[]));
+        fleet.list(rows);
+        until("it says that it is ready", || fleet.readiness() == Some(200));
+        fleet
+    }
+
+    /// Tells a document, and waits until it is in force.
+    pub fn follow(&self, document: Document) {
+        let line = format!("event=follow serial={} ", document.serial);
+        self.hive.document(document.serial, document);
+        until(&line, || self.log.lock().unwrap().contains(&line));
+    }
+
+    /// Tells a list, and waits until it is in force: a server of its own kind is known by its number.
+    pub fn list(&self, mut rows: Vec<Row>) {
+        let number = self.lists.fetch_add(1, Ordering::SeqCst) + 1;
+        let mark = format!("mark-{number}");
+        rows.push(Row { id: mark.clone(), ..row(&self.mark, "mark") });
+        self.hive.rows(number, rows);
+        let req = || req("GET /", "key", "", "").1.replace("a.example", "mark.example");
+        until(&mark, || self.try_ask(&req()).is_some_and(|m| m.text().starts_with(&mark)));
+    }
+
+    pub fn readiness(&self) -> Option<u16> {
+        let mut c = Client::to(self.ready).ok()?;
+        let answer = c.ask(b"GET /lupinledge/readiness HTTP/1.1\r\nHost: a\r\n\r\n").ok()??;
+        Some(answer.status())
+    }
+
+    fn try_ask(&self, bytes: &str) -> Option<Message> {
+        Client::to(self.front).ok()?.ask(bytes.as_bytes()).ok()?
+    }
+
+    /// One request on a connection of its own.
+    pub fn ask(&self, bytes: &str) -> Message {
+        self.try_ask(bytes).expect("an answer")
+    }
+
+    /// The statuses of so many requests one after the other.
+    pub fn statuses(&self, times: usize, line: &str, key: &str) -> Vec<u16> {
+        (0..times).map(|_| self.ask(&req(line, key, "", "").1).status()).collect()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let _alone = STARTING.lock();
+        let kill = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
+        assert!(kill.expect("a shell").success());
+    }
+
+    /// How it ended.
+    pub fn end(&mut self) -> ExitStatus {
+        let mut status = None;
+        until("it ends", || {
+            status = self.child.try_wait().expect("its status");
+            status.is_some()
+        });
+        status.expect("its status")
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = (self.child.kill(), self.child.wait(), std::fs::remove_file(&self.path));
+        if std::thread::panicking() {
+            eprintln!("{}", self.log.lock().unwrap());
+        }
+    }
+}
--- /dev/null
+++ b/forager/tests/rules/main.rs
@@ -0,0 +1,286 @@
+//! The rules as clients and servers see them: the real program on loopback between a stand-in hive and stand-in
+//! servers. `docs/rules.md` says which mechanism each test guards.
+
+mod fleet;
+mod hive;
+mod srv;
+
+use fleet::{config, document, req, row, until, Fleet};
+use lupinledge_example::http::Client;
+use lupinledge_wax::list::Row;
+use serde_json::json;
+use srv::{Manner, Srv, FULL, GOOD};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn srv(id: &str, manner: Manner) -> Srv {
+    Srv::start(id, "mead-1", manner)
+}
+
+/// UNASKED, ROUTE: as the client sent it, but for the key and what only the system says. The answer comes back whole.
+#[test]
+fn what_goes_on_and_comes_back() {
+    let s = srv("i-1", GOOD);
+    let f = Fleet::start(vec![row(&s, "a")]);
+    let more =
+        "Lupinledge-Tenant: other\r\nLupinledge-Expect-Instance: i-9\r\nLupinledge-Deadline-Ms: 3000\r\n\
+                X-App: mine\r\nX-Hop: 1\r\nConnection: x-hop\r\n";
+    let (id, text) = req("POST /pay/x%20y?q=1", "key", more, "three");
+    let answer = f.ask(&text);
+    assert_eq!((answer.status(), answer.text()), (200, format!("i-1 for {id}")));
+    assert_eq!(answer.header("lupinledge-server-stamp"), Some("st"));
+    assert_eq!(answer.header("x-app"), Some("kept"));
+    let got = s.got();
+    assert_eq!((got.len(), got[0].start.as_str()), (1, "POST /pay/x%20y?q=1 HTTP/1.1"));
+    let all = |name: &str| {
+        let named = got[0].headers.iter().filter(|h| h.0 == name);
+        named.map(|h| h.1.as_str()).collect::<Vec<_>>().join("; ")
+    };
+    let told = ["lupinledge-attempt-id", "lupinledge-expect-instance", "lupinledge-tenant", "x-app", "host"];
+    assert_eq!(told.map(all), [&id, "i-1", "own", "mine", "a.example"]);
+    assert_eq!(["authorization", "x-hop", "connection"].map(all), ["", "", ""]);
+    assert_eq!(got[0].text(), "three");
+    let left = all("lupinledge-deadline-ms");
+    assert!((1..=3000).contains(&left.parse().unwrap()), "{left}");
+    // without a key no tenant is named, whoever the client says that it is
+    let bare = text.replace("Authorization: Token key\r\n", "").replace("/pay/", "/open/");
+    assert_eq!(f.ask(&bare).status(), 200);
+    assert_eq!(s.got()[1].header("lupinledge-tenant"), None);
+}
+
+/// DENIED, ROUTE: what no configuration allows is refused, and nothing of it goes on.
+#[test_case("GET /read/x", "nobody", 401; "unknown key")]
+#[test_case("GET /read/x", "", 401; "empty key")]
+#[test_case("GET /none/x", "key", 404; "unknown path")]
+#[test_case("GET /rea", "key", 404; "half a prefix")]
+#[test_case("GET /read/../none/x", "key", 200; "a path is taken as it is")]
+fn refusals(line: &str, key: &str, status: u16) {
+    let s = srv("i-1", GOOD);
+    let f = Fleet::start(vec![row(&s, "a")]);
+    assert_eq!(f.statuses(1, line, key), [status]);
+    assert_eq!(f.ask(&req(line, key, "", "").1.replace("a.example", "b.example")).status(), 404);
+    assert_eq!(s.got().len(), (status == 200) as usize);
+}
+
+/// UNASKED: a request that may hide another one is refused whole, its connection ends, and nothing goes on.
+#[test_case("Content-Length: 5\r\nTransfer-Encoding: chunked", "0\r\n\r\n"; "length and coding")]
+#[test_case("Transfer-Encoding: chunked\r\nContent-Length: 5", "0\r\n\r\n"; "coding and length")]
+#[test_case("Content-Length: 5\r\nContent-Length: 6", "hello"; "two lengths")]
+#[test_case("Content-Length: 5, 6", "hello"; "two lengths in one")]
+#[test_case("Content-Length: 2", "hello"; "past its length")]
+#[test_case("Content-Length: -5", "hello"; "below nothing")]
+#[test_case("Content-Length: +5", "hello"; "signed")]
+#[test_case("Transfer-Encoding: chunked", "zz\r\nhello\r\n0\r\n\r\n"; "size that is no number")]
+#[test_case("Transfer-Encoding: chunked", "fffffffffffffffff5\r\nhello\r\n0\r\n\r\n"; "size past all")]
+#[test_case("Transfer-Encoding: chunked", "2\r\nhello\r\n0\r\n\r\n"; "size not the chunk's")]
+#[test_case("Transfer-Encoding: chunked", "5\nhello\n0\n\n"; "chunk lines that end in LF")]
+#[test_case("Transfer-Encoding: chunked", "5;a\nb\r\nhello\r\n0\r\n\r\n"; "LF in what is said of a chunk")]
+#[test_case("Transfer-Encoding: identity", "hello"; "another coding")]
+#[test_case("Transfer-Encoding: chunked, gzip", "0\r\n\r\n"; "coding over chunks")]
+#[test_case("Content-Length : 5", "hello"; "space before the colon")]
+#[test_case("X-A: b\r\n Content-Length: 5", "hello"; "folded line")]
+#[test_case("X-A: b\rContent-Length: 5", "hello"; "CR alone")]
+fn smuggled(lengths: &str, body: &str) {
+    let s = srv("i-1", GOOD);
+    let f = Fleet::start(vec![row(&s, "a")]);
+    let text = req("POST /pay/x", "key", "", "").1.replace("Content-Length: 0", lengths);
+    let mut c = Client::to(f.front).unwrap();
+    c.write((text + body + &req("GET /read/inner", "key", "", "").1).as_bytes()).unwrap();
+    assert_eq!(c.answer().unwrap().expect("an answer").status(), 400);
+    assert!(!matches!(c.answer(), Ok(Some(_))), "the connection ends");
+    assert_eq!(f.statuses(1, "GET /read/after", "key"), [200]);
+    assert_eq!(s.got().len(), 1, "the one after it alone");
+}
+
+/// MIXED, TWICE, REFUSED: what is not the server's whole answer to this request may have run: it is not passed on, not
+/// sent again, and not called a refusal.
+#[test_case(Manner::Close(""); "none")]
+#[test_case(Manner::Close("what is this?\r\n\r\n"); "noise")]
+#[test_case(Manner::Close("HTTP/1.1 200 OK\r\nLupinledge-Attempt-Id: ID\r\nLupinledge-Server-Stamp: s\r\nContent-Length: 9\r\n\r\nno"); "cut short")]
+#[test_case(Manner::Close("HTTP/1.1 200 OK\r\nLupinledge-Attempt-Id: ID\r\nLupinledge-Server-Stamp: s\r\n\r\nno"); "without a length")]
+#[test_case(Manner::Say("HTTP/1.1 200 OK\r\nLupinledge-Attempt-Id: x\r\nLupinledge-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno"); "of another")]
+#[test_case(Manner::Say("HTTP/1.1 200 OK\r\nLupinledge-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno"); "of nobody")]
+#[test_case(Manner::Say("HTTP/1.1 503 No\r\nLupinledge-Not-Executed: 1\r\nContent-Length: 2\r\n\r\nno"); "refusal of nobody")]
+#[test_case(Manner::Say("HTTP/1.1 200 OK\r\nLupinledge-Attempt-Id: ID\r\nContent-Length: 2\r\n\r\nno"); "without a stamp")]
+#[test_case(Manner::Say("HTTP/1.1 200 OK\r\nLupinledge-Attempt-Id: ID\r\nLupinledge-Server-Stamp: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno"); "coded")]
+fn spoilt_answer(manner: Manner) {
+    let (one, two) = (srv("i-1", manner), srv("i-2", manner));
+    let f = Fleet::start(vec![row(&one, "a"), row(&two, "a")]);
+    let answer = f.ask(&req("POST /pay/x", "key", "", "").1);
+    assert_eq!((answer.status(), answer.text()), (502, String::new()));
+    assert_eq!(one.got().len() + two.got().len(), 1);
+    // one that may be repeated goes to the other server
+    [&one, &two].into_iter().for_each(|s| s.now(GOOD));
+    until("it is trusted", || f.statuses(1, "GET /read/x", "key") == [200]);
+}
+
+/// MIXED: a server's own failure is passed on as it is; what it sends behind an answer is nobody's.
+#[test]
+fn more_than_an_answer() {
+    let s = srv("i-1", Manner::Say("HTTP/1.1 200 OK\r\nLupinledge-Attempt-Id: ID\r\nLupinledge-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nLupinledge-Attempt-Id: x\r\nLupinledge-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nno"));
+    let f = Fleet::start(vec![row(&s, "a")]);
+    for _ in 0..5 {
+        let answer = f.ask(&req("POST /pay/x", "key", "", "").1);
+        assert_eq!((answer.status(), answer.text().as_str()), (200, "ok"));
+        std::thread::sleep(ms(5)); // a connection is used again after a rest
+    }
+    s.now(Manner::Say(
+        "HTTP/1.1 500 Own\r\nLupinledge-Attempt-Id: ID\r\nX-Why: y\r\nContent-Length: 3\r\n\r\nown",
+    ));
+    let answer = f.ask(&req("POST /pay/x", "key", "", "").1);
+    assert_eq!((answer.status(), answer.text().as_str(), answer.header("x-why")), (500, "own", Some("y")));
+    assert_eq!(s.got().len(), 6);
+}
+
+/// TWICE, REFUSED: a second server gets what the first says that it has not run, and one alone runs it. Where none
+/// does, the refusal is a promise, after as many servers as the route allows.
+#[test_case(FULL; "full")]
+#[test_case(Manner::Say("HTTP/1.1 421 Not me\r\nLupinledge-Attempt-Id: ID\r\nContent-Length: 0\r\n\r\n"); "another instance")]
+fn turned_away(manner: Manner) {
+    let (one, two, three) = (srv("i-1", manner), Srv::start("i-2", "wold-1", GOOD), srv("i-3", manner));
+    let f = Fleet::start(vec![row(&one, "a"), row(&two, "a")]);
+    assert_eq!(f.statuses(12, "POST /pay/x", "key"), [200; 12]);
+    assert_eq!(two.got().len(), 12);
+    assert!(!one.got().is_empty(), "the near one was asked first");
+    f.list(vec![row(&one, "a"), row(&three, "a")]);
+    let before = one.got().len() + three.got().len();
+    assert_eq!(f.statuses(1, "POST /pay/x", "key"), [429]);
+    assert_eq!(one.got().len() + three.got().len() - before, 2);
+}
+
+/// BUDGET: where all are turned away, further tries stay within the ratio and this gateway's part of the slack.
+#[test]
+fn further_tries_are_few() {
+    let (one, two) = (srv("i-1", FULL), srv("i-2", FULL));
+    let bounds = json!({"retry_ratio": 0.1, "retry_slack": 10});
+    let f = Fleet::with(vec![row(&one, "a"), row(&two, "a")], &config(), bounds);
+    assert_eq!(f.statuses(30, "GET /read/x", "key"), [429; 30]);
+    let sent = one.got().len() + two.got().len();
+    assert!((31..=30 + 3 + 5).contains(&sent), "{sent} sends of 30 requests");
+}
+
+/// DRAIN: a server that is about to leave, or has left, gets nothing new. EVAC: nor does one in an evacuated zone.
+/// FAILBACK: once the zone is taken back, only from the next list on, which tells who is cold.
+#[test]
+fn who_gets_nothing_new() {
+    let (one, two) = (srv("i-1", GOOD), Srv::start("i-2", "wold-1", GOOD));
+    let rows = || vec![row(&one, "a"), row(&two, "a")];
+    let f = Fleet::start(rows());
+    let to = |times: usize| {
+        let before = [&one, &two].map(|s| s.got().len());
+        assert_eq!(f.statuses(times, "POST /pay/x", "key"), vec![200; times]);
+        [one.got().len() - before[0], two.got().len() - before[1]]
+    };
+    assert_eq!(to(5), [5, 0], "the near one");
+    f.list(vec![Row { draining: true, ..row(&one, "a") }, row(&two, "a")]);
+    assert_eq!(to(5), [0, 5], "draining");
+    f.list(rows());
+    assert_eq!(to(5), [5, 0], "back");
+    f.list(vec![row(&two, "a")]);
+    assert_eq!(to(5), [0, 5], "gone");
+    f.list(rows());
+    f.follow(document(2, &config(), &["mead-1"]));
+    assert_eq!(to(5), [0, 5], "evacuated");
+    f.list(rows());
+    assert_eq!(to(5), [0, 5], "evacuated, whatever the list says");
+    f.follow(document(3, &config(), &[]));
+    assert_eq!(to(5), [0, 5], "taken back, and maybe cold");
+    f.list(rows());
+    assert_eq!(to(5), [5, 0], "and known to be warm");
+}
+
+/// FAILBACK: a cold server gets this gateway's part of its bound and no burst.
+#[test]
+fn a_cold_server_is_spared() {
+    let s = srv("i-1", GOOD);
+    let f = Fleet::start(vec![Row { warm_left: 10.0, ..row(&s, "a") }]);
+    let text = || req("GET /read/x", "key", "Lupinledge-Deadline-Ms: 900\r\n", "").1;
+    let asks = |_| std::thread::scope(|t| (0..20).for_each(|_| drop(t.spawn(|| f.ask(&text())))));
+    (0..3).for_each(asks);
+    let (times, most) = (s.times(), 1.0 * 1.5 + 5.0);
+    let within = |from: &Instant| times.iter().filter(|t| **t >= *from && **t - *from <= ms(1000)).count();
+    assert!(!times.is_empty() && times.iter().all(|t| within(t) as f64 <= most), "{}", times.len());
+}
+
+/// HOME: route and tenant bind together; where no server is allowed, none gets it.
+#[test]
+fn homes() {
+    let (one, two) = (srv("i-1", GOOD), Srv::start("i-2", "wold-1", GOOD));
+    let mut config = config();
+    config["listeners"][0]["rules"][0]["action"]["home_regions"] = json!(["mead"]);
+    let f = Fleet::with(vec![row(&one, "a"), row(&two, "a")], &config, json!({}));
+    assert_eq!(f.statuses(5, "POST /pay/x", "wold-key"), [200; 5]);
+    assert_eq!((one.got().len(), two.got().len()), (0, 5), "the tenant's");
+    f.list(vec![Row { draining: true, ..row(&one, "a") }, row(&two, "a")]);
+    assert_eq!(f.statuses(2, "GET /read/x", "key"), [429; 2], "the route's has no server");
+    assert_eq!(f.statuses(2, "GET /read/x", "wold-key"), [429; 2], "no region is a home of both");
+    assert_eq!((one.got().len(), two.got().len()), (0, 5));
+}
+
+/// CONFIG: a new configuration is followed, also for open connections; what is older changes nothing, whether by its
+/// stamp or by its serial.
+#[test]
+fn configurations_never_go_back() {
+    let (one, two) = (srv("i-1", GOOD), srv("i-2", GOOD));
+    let f = Fleet::start(vec![row(&one, "a"), row(&two, "b")]);
+    let mut c = Client::to(f.front).unwrap();
+    let mut ask = |key: &str| {
+        let text = req("GET /read/x", key, "", "").1;
+        c.ask(text.as_bytes()).unwrap().expect("an answer").status()
+    };
+    assert_eq!((ask("key"), one.got().len(), two.got().len()), (200, 1, 0));
+    let mut new = config();
+    new["listeners"][0]["rules"][0]["action"]["service"] = json!("b");
+    new["tenants"][0]["api_keys"] = json!(["new-key"]);
+    f.follow(document(2, &new, &[]));
+    assert_eq!((ask("new-key"), one.got().len(), two.got().len()), (200, 1, 1));
+    for stamp in [(1, 1), (2, 1)] {
+        f.hive.say(f.ip.into(), stamp, document(1, &config(), &[]));
+        f.list(vec![row(&one, "a"), row(&two, "b")]); // comes behind it over the same link
+        assert_eq!(f.statuses(1, "GET /read/x", "new-key"), [200], "{stamp:?}");
+    }
+    assert_eq!((one.got().len(), two.got().len()), (1, 3));
+    assert_eq!((ask("key"), one.got().len(), two.got().len()), (401, 1, 3));
+}
+
+/// QUOTA: each request is added to its tenant's counter before it is sent, and a total past the quota refuses it.
+#[test]
+fn the_counter_is_asked_first() {
+    let s = srv("i-1", GOOD);
+    let f = Fleet::start(vec![row(&s, "a")]);
+    let (before, added) = (s.got().len() as u64, || f.hive.added.load(Ordering::SeqCst));
+    assert_eq!(f.statuses(2, "GET /read/x", "small-key"), [200; 2]);
+    assert!(added() >= s.got().len() as u64 - before, "{} added", added());
+    f.hive.others.store(1000, Ordering::SeqCst);
+    let sent = s.got().len();
+    f.statuses(1, "GET /read/x", "small-key"); // may still go on by what the last total left
+    let answers = f.statuses(10, "GET /read/x", "small-key");
+    assert_eq!((answers, s.got().len() <= sent + 1), (vec![429; 10], true));
+    assert_eq!(f.statuses(3, "GET /read/x", "key"), [200; 3], "others are none the poorer");
+}
+
+/// LOST: after SIGTERM what was taken is answered, new connections are served for a while, and the program ends in
+/// time with 0.
+#[test]
+fn sigterm() {
+    let s = srv("i-1", Manner::Answer(ms(600)));
+    let mut f = Fleet::with(vec![row(&s, "a")], &config(), json!({"grace_s": 2.0}));
+    let (id, text) = req("POST /pay/x", "key", "", "");
+    let mut c = Client::to(f.front).unwrap();
+    c.write(text.as_bytes()).unwrap();
+    until("it is at work", || s.got().len() == 1);
+    let began = Instant::now();
+    f.signal("TERM");
+    until("it is not ready any more", || f.readiness() != Some(200));
+    s.now(GOOD);
+    let late = f.ask(&req("POST /pay/x", "key", "", "").1);
+    assert_eq!((late.status(), late.header("connection")), (200, Some("close")));
+    let answer = c.answer().unwrap().expect("an answer");
+    assert_eq!((answer.status(), answer.text()), (200, format!("i-1 for {id}")));
+    assert!(f.end().success() && began.elapsed() < ms(2000), "{:?}", began.elapsed());
+}
