comb: a head with a line that ends in LF alone is refused

Cause: hyper takes LF alone for a line's end; a client, or a proxy before it, that takes CR LF only has another idea of where its header ends, and of what the request behind it is. Ruled out: that something of it goes on today (the request is written anew, so each server reads what was read here). Change: `Heads` tells such a line as a fault, so the answer is 400, nothing goes on, and the connection ends; the gateway refuses it too. Tests: framing (two cases), the forager's smuggled.

--- a/comb/src/transport/heads.rs
+++ b/comb/src/transport/heads.rs
@@ -28,6 +28,8 @@
 pub struct Heads {
     at: Cell<At>,
     line: RefCell<Vec<u8>>,
+    /// The last byte read of an open head.
+    last: Cell<u8>,
     lines: Cell<u32>,
     length: Cell<Option<u64>>,
     coded: Cell<bool>,
@@ -75,9 +77,14 @@
                     let room = LINE - line.len();
                     line.extend_from_slice(&part[..part.len().min(room)]);
                     if end.is_some() {
+                        let before = part.iter().rev().nth(1).copied().unwrap_or(self.last.get());
+                        if before != b'\r' {
+                            self.fault.set(Some("head: a line that ends in LF alone"));
+                        }
                         self.line(&line);
                         line.clear();
                     }
+                    self.last.set(part[part.len() - 1]);
                     bytes = rest;
                 }
             }
@@ -164,14 +171,17 @@
     use test_case::test_case;
 
     const BOTH: Option<&str> = Some("Content-Length: beside a Transfer-Encoding");
+    const BARE: Option<&str> = Some("head: a line that ends in LF alone");
     const PAST: Option<&str> = Some("Content-Length: not the body's");
 
     /// However the bytes are cut.
     #[test_case("GET / HTTP/1.1\r\nA: b\r\n\r\nGET / HTTP/1.1\r\n\r\n", None, false; "two reqs")]
     #[test_case("P / H\r\nContent-Length: 4\r\n\r\nA:\r\nP / H\r\n\r\n", None, false; "a body skipped")]
     #[test_case("P / H\r\nContent-Length: 2\r\n\r\nlonger", PAST, true; "a body past its length")]
-    #[test_case("P / H\ncontent-length:4\nTRANSFER-ENCODING : x\n\n", BOTH, true; "both, in any form")]
+    #[test_case("P / H\r\ncontent-length:4\r\nTRANSFER-ENCODING : x\r\n\r\n", BOTH, true; "both, in any form")]
     #[test_case("P / H\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n", BOTH, true; "the other way")]
+    #[test_case("P / H\r\nA: b\nC: d\r\n\r\n", BARE, true; "LF alone")]
+    #[test_case("P / H\r\nA: b\r\n\n", BARE, true; "LF alone at the end")]
     #[test_case("P / H\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n", None, true; "coded alone")]
     fn framing(bytes: &str, fault: Option<&str>, last: bool) {
         for cut in [1, 2, 7, 1000] {
--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -85,6 +85,7 @@
 #[test_case("Content-Length : 5", "hello"; "space before the colon")]
 #[test_case("X-A: b\r\n Content-Length: 5", "hello"; "folded line")]
 #[test_case("X-A: b\rContent-Length: 5", "hello"; "CR alone")]
+#[test_case("X-A: b\nContent-Length: 5", "hello"; "LF alone")]
 fn smuggled(lengths: &str, body: &str) {
     let s = srv("i-1", GOOD);
     let f = Fleet::start(vec![row(&s, "a")]);
