Forager: before the state is here clients are told at once when to come back

Told apart from a slow start by the log: 40 ms from the start to the port for the platform.

Change: the port is open from the start on; until the process is ready each request gets 503 with Retry-After (0.25 s where a holder was heard of, else what is left of 1.4 s, stretched by up to 0.3 by chance), its connection closes, and the body is read before so that no reset takes the answer away. Nothing is held back and nothing run. At SIGTERM before it is ready the process ends at once.

Test: the program among seeds that answer nothing answers within 2 s (it does not without the change).

--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -15,6 +15,10 @@
 /// The number of gateways that what all may do together is divided by: the most there were lately.
 const LATELY: f64 = 45.0;
 const UPKEEP: Duration = Duration::from_millis(500);
+/// Seconds from the start until this process is ready, as measured: where there is a holder, and from when on a new
+/// one is to be expected.
+const JOIN: f64 = 0.25;
+const TAKEOVER: f64 = 1.4;
 
 /// Before the clock is known there are no pools; news wait for them in the dance.
 pub struct Nest {
@@ -63,6 +67,14 @@
         }
     }
 
+    /// In how many seconds this process may be ready, by what it has heard yet.
+    pub fn soon(&self) -> f64 {
+        match self.dance.held(|h| h.epoch().1) {
+            0 => (TAKEOVER - self.dance.now()).max(2.0 * JOIN),
+            _ => JOIN,
+        }
+    }
+
     /// From here on news go to the pools; what is held already does at once.
     pub fn open(&self, pools: Rc<Pools>) {
         *self.pools.borrow_mut() = Some(pools);
--- a/forager/src/start.rs
+++ b/forager/src/start.rs
@@ -1,6 +1,6 @@
 //! The program from its start to its end.
 
-use crate::door::Door;
+use crate::door::{Door, Early};
 use crate::ledger::Ledger;
 use crate::nest::Nest;
 use crate::pools::Pools;
@@ -24,6 +24,8 @@
 const RESERVED: usize = 200 + 64;
 /// The hive's clock is waited for so long; then the own one has to do.
 const CLOCK_WAIT: Duration = Duration::from_secs(3);
+/// At SIGTERM before it is ready, what was answered has so long to get out.
+const LAST: Duration = Duration::from_millis(250);
 /// Of the time that the platform gives after SIGTERM: new connections are taken for this part, and the last answers
 /// are given within that one.
 const STAY: f64 = 0.55;
@@ -96,25 +98,43 @@
     let ledger = Ledger::start(dance.post().clone(), seed as u32 ^ (seed >> 32) as u32);
     let nest = Nest::new(told.clone(), dance.clone(), ledger.clone());
     tokio::task::spawn_local(dance.clone().run());
-    let clock = nest.clock(CLOCK_WAIT).await;
-    let pools = Pools::new(told.clone(), clock, ledger, server_places, seed);
-    nest.open(pools.clone());
-    tokio::task::spawn_local(nest.clone().upkeep());
-
     let gate = open("front", told.listen.front, &client_places)?;
+    let soon = nest.clone();
+    let early = Early(move || soon.soon());
+    let early = Clients::start(Rc::new(early), counters, bounds(3.0, 15.0, 16 << 10));
+    let rising = async {
+        let clock = nest.clock(CLOCK_WAIT).await;
+        let pools = Pools::new(told.clone(), clock, ledger, server_places, seed);
+        nest.open(pools.clone());
+        tokio::task::spawn_local(nest.clone().upkeep());
+        tracing::info!(event = "started", node = %told.ip, zone = %told.zone);
+        while !pools.listed() {
+            let _ = timeout(Duration::from_millis(100), nest.woken.notified()).await;
+        }
+        pools
+    };
+    // clients come back to an address that they know as soon as it answers
+    let pools = tokio::select! {
+        pools = rising => Some(pools),
+        _ = accept(&gate, &early, &client_places) => None,
+        _ = term.recv() => None,
+        _ = int.recv() => None,
+    };
+    early.end_all();
+    let Some(pools) = pools else {
+        let _ = timeout(LAST, early.all_ended()).await;
+        tracing::info!(event = "ended", taken = 0);
+        return Ok(());
+    };
     let door = Door::new(pools.clone(), told.limits.memory_mb, seed);
     let clients = Clients::start(door, pools.counters.clone(), bounds(3.0, 15.0, 16 << 10));
-    tracing::info!(event = "started", node = %told.ip, zone = %told.zone);
+    ready.set(true);
+    dance.set_card(|card| card.ready = true);
+    tracing::info!(event = "ready", version = pools.tables().version());
 
     tokio::task::spawn_local(settings::watch(path, hangup, |_| {}));
-    let (c, p, d, r) = (clients.clone(), pools.clone(), dance.clone(), ready.clone());
+    let (c, p) = (clients.clone(), pools.clone());
     tokio::task::spawn_local(async move {
-        while !p.listed() {
-            let _ = timeout(Duration::from_millis(100), nest.woken.notified()).await;
-        }
-        r.set(true);
-        d.set_card(|card| card.ready = true);
-        tracing::info!(event = "ready", version = p.tables().version());
         let mut limits = None;
         loop {
             let now = p.tables().limits();
--- /dev/null
+++ b/forager/tests/start.rs
@@ -0,0 +1,69 @@
+//! Starts the program with nobody around, and speaks to it over a socket.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(10);
+
+/// The program, killed when dropped.
+struct Forager(Child, std::path::PathBuf);
+
+impl Drop for Forager {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+        let _ = std::fs::remove_file(&self.1);
+    }
+}
+
+/// A port of the loopback that nobody uses now.
+fn port() -> u16 {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|l| l.local_addr()).expect("a port").port()
+}
+
+/// The program among seeds that answer nothing, and its address for clients.
+fn start() -> (Forager, SocketAddr) {
+    let (front, ready, first, seed) = (port(), port(), port(), port());
+    let path = std::env::temp_dir().join(format!("lupinledge-forager-{}.json", std::process::id()));
+    let text = format!(
+        r#"{{"node_name": "edge-1", "role": "forager", "machine_class": "edge", "serves": ["edge"], "ip": "127.0.0.1",
+        "zone": "z", "region": "r", "zones": {{"z": "r"}}, "port_range": [{first}, {first}],
+        "listen": {{"front": "127.0.0.1:{front}", "ready": "127.0.0.1:{ready}"}}, "seeds": ["127.0.0.2:{seed}"]}}"#
+    );
+    std::fs::write(&path, text).expect("a settings file");
+    let mut program = Command::new(env!("CARGO_BIN_EXE_lupinledge-forager"));
+    program
+        .env("LUPINLEDGE_NODE_FILE", &path)
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null());
+    (Forager(program.spawn().expect("the program"), path), SocketAddr::from((Ipv4Addr::LOCALHOST, front)))
+}
+
+/// With nobody to learn the state from, clients are answered all the same, at once and with when to come back; the
+/// answer is the last of its connection, and is not lost with a body that nobody wants.
+#[test]
+fn a_client_is_answered_before_the_state_is_here() {
+    let began = Instant::now();
+    let (_forager, front) = start();
+    let mut stream = loop {
+        match TcpStream::connect(front) {
+            Ok(stream) => break stream,
+            Err(e) => assert!(began.elapsed() < Duration::from_secs(2), "no way in: {e}"),
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    };
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    let head =
+        "POST /a/ HTTP/1.1\r\nHost: a.example\r\nLupinledge-Attempt-Id: 1\r\nContent-Length: 5\r\n\r\nhello";
+    stream.write_all(head.as_bytes()).expect("written");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an answer, and the end of the connection");
+    let answer = answer.to_ascii_lowercase();
+    assert!(answer.starts_with("http/1.1 503 "), "{answer}");
+    let after = answer.lines().find_map(|l| l.strip_prefix("retry-after: ")).expect("when to come back");
+    let after: f64 = after.parse().expect("seconds");
+    assert!((0.2..=2.0).contains(&after), "{after}");
+}
