Hive: membership and news by dance; its own driver of both is gone

Cause: hive/src/swarm.rs and hive/src/news.rs did what dance does for the forager, in other words and with other timers.

Change: the hive opens a Dance that takes no documents from news, is its host, and tells it what was agreed on and the list that it read: as the origin while it holds the duty, as settled otherwise, so that members that learn of a commit send nothing. The directory's choice of fronts stays, on top of dance's members. Any word at all is told to the counters (`Host::lives`).

--- a/forager/tests/rules/hive.rs
+++ b/forager/tests/rules/hive.rs
@@ -4,7 +4,7 @@
 use lupinledge_dance::{Dance, Host, News};
 use lupinledge_propolis::{Document, Settings};
 use lupinledge_queen::Stamp;
-use lupinledge_waggle::Card;
+use lupinledge_waggle::{Card, Source};
 use lupinledge_wax::list::{List, Row};
 use lupinledge_wax::{encode, Node, Word};
 use serde_bytes::ByteBuf;
@@ -110,20 +110,20 @@
     let host: Rc<dyn Host> = holder.clone();
     dance.attend(Rc::downgrade(&host));
     tokio::task::spawn_local(dance.clone().run());
-    dance.tell(News { epoch: Some((1, dance.me())), ..News::default() });
+    dance.tell(News { epoch: Some((1, dance.me())), ..News::default() }, Source::Origin);
     while let Some(order) = orders.recv().await {
         match order {
             Order::Document(index, d) => {
-                let state = Some((Stamp { epoch: 1, index }, Rc::from(bytes(&d))));
-                dance.tell(News { state, ..News::default() });
+                let state = Some(((1, index), Rc::from(bytes(&d))));
+                dance.tell(News { state, ..News::default() }, Source::Origin);
             }
             Order::Rows(number, rows) => {
                 let list = Some(((1, number), Rc::from(List { number: (1, number), rows }.encode())));
-                dance.tell(News { list, ..News::default() });
+                dance.tell(News { list, ..News::default() }, Source::Origin);
             }
             Order::Say(to, stamp, d) => {
-                let state = Some((stamp, ByteBuf::from(bytes(&d))));
-                let news = Word::News { digest: Default::default(), state, list: None, roll: Vec::new() };
+                let state = Some(((stamp.epoch, stamp.index), ByteBuf::from(bytes(&d))));
+                let news = Word::News { digest: Default::default(), state, list: None };
                 dance.post().send(to, &news);
             }
         }
--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -5,7 +5,6 @@
 use lupinledge_propolis::Document;
 use lupinledge_queen::{Kept, Msg, Node, Out, Outcome, Queen, Settings, Stamp};
 use lupinledge_wax::{Post, Word};
-use serde_bytes::ByteBuf;
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -23,7 +22,7 @@
 pub struct Agreed {
     pub stamp: Stamp,
     pub document: Document,
-    pub bytes: ByteBuf,
+    pub bytes: Rc<[u8]>,
 }
 
 pub struct Agree {
@@ -162,7 +161,7 @@
         };
         match document {
             Ok(document) => {
-                let agreed = Agreed { stamp, document, bytes: ByteBuf::from(body) };
+                let agreed = Agreed { stamp, document, bytes: Rc::from(body) };
                 *self.agreed.borrow_mut() = Some(Rc::new(agreed));
                 true
             }
--- a/hive/src/counts.rs
+++ b/hive/src/counts.rs
@@ -3,7 +3,7 @@
 
 use crate::agree::Agree;
 use crate::clock::Clock;
-use crate::swarm::Members;
+use lupinledge_dance::Dance;
 use lupinledge_nectar::told::Told;
 use lupinledge_nectar::{Counters, Life};
 use lupinledge_propolis::Tables;
@@ -50,31 +50,31 @@
     }
 
     /// From here on silences are looked for: a pause of this process is none of the others'.
-    pub fn run(self: &Rc<Counts>, members: Rc<Members>, post: Rc<Post>) {
+    pub fn run(self: &Rc<Counts>, dance: Rc<Dance>) {
         let counts = self.clone();
         tokio::task::spawn_local(async move {
             loop {
-                let whole = counts.look(&members, &post);
+                let whole = counts.look(&dance);
                 let _ = timeout(if whole { TICK } else { ASK }, counts.agree.changed()).await;
             }
         });
     }
 
     /// Looks after the counters; returns whether they are whole, or another's.
-    fn look(&self, members: &Members, post: &Post) -> bool {
+    fn look(&self, dance: &Dance) -> bool {
         let Some(epoch) = self.agree.leads() else { return true };
         let (now, mut held) = (self.clock.now(), self.held.borrow_mut());
         let held = self.hold(&mut held, epoch);
         held.counters.tick(now);
         // one that is gone without a word may go on out of sight
         let ended = |m: &&Member| m.card.leaving && m.standing == Standing::Gone;
-        members.with(|members| members.filter(ended).for_each(|m| held.counters.forget(m.node)));
+        dance.with(|swarm| swarm.members().filter(ended).for_each(|m| held.counters.forget(m.node)));
         if held.counters.whole() {
             return true;
         }
         let (mut edges, mut asked) = (Vec::new(), Vec::new());
-        members.with(|members| {
-            for m in members.filter(|m| !m.card.core && !held.counters.told(m.node)) {
+        dance.with(|swarm| {
+            for m in swarm.members().filter(|m| !m.card.core && !held.counters.told(m.node)) {
                 edges.extend(Some(m.node).filter(|_| !m.card.leaving));
                 asked.extend(Some(m.node).filter(|_| m.standing == Standing::Alive));
             }
@@ -82,14 +82,14 @@
         let known = held.counters.any_told() || !asked.is_empty();
         let spent = now - held.since;
         if spent < TELL && (!asked.is_empty() || !known && spent < SHOW) {
-            asked.into_iter().for_each(|n| post.cast(n, &Word::Hold { epoch }));
+            asked.into_iter().for_each(|n| dance.post().cast(n, &Word::Hold { epoch }));
             return false;
         }
         held.counters.close(now, &edges);
         tracing::info!(event = "counters_whole", epoch, missing = edges.len(), waiting = held.waiting.len());
         for (from, tag, names) in std::mem::take(&mut held.waiting) {
             let totals = names.into_iter().map(|n| held.counters.total(n)).collect();
-            post.send(from.0, &Word::Counted { tag, epoch, totals });
+            dance.post().send(from.0, &Word::Counted { tag, epoch, totals });
         }
         true
     }
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -4,16 +4,17 @@
 use crate::brood::Brood;
 use crate::clock::Clock;
 use crate::counts::Counts;
-use crate::news::News;
+use crate::directory::Directory;
 use crate::store::{Opened, Store};
-use crate::swarm::Members;
 use eyre::{eyre, WrapErr};
+use lupinledge_dance::{seeds_of, Dance, Host, News, Source};
 use lupinledge_propolis::Settings;
-use lupinledge_queen::Node;
+use lupinledge_queen::{Node, Stamp};
 use lupinledge_waggle::Card;
-use lupinledge_wax::{Post, Word};
-use std::cell::{Cell, OnceCell, RefCell};
-use std::net::{IpAddr, SocketAddr};
+use lupinledge_wax::list::List;
+use lupinledge_wax::Word;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Mutex;
@@ -34,22 +35,9 @@
     /// Changes that wait or run, and whose turn it is.
     pub queued: Cell<usize>,
     pub turn: Mutex<()>,
-    members: Rc<Members>,
+    dance: Rc<Dance>,
+    directory: Directory,
     counts: Rc<Counts>,
-    post: Rc<Post>,
-    news: OnceCell<Rc<News>>,
-}
-
-/// The machines behind addresses, in the agreed order.
-pub fn nodes(addresses: &[SocketAddr]) -> Vec<Node> {
-    let v4 = |a: &SocketAddr| match a.ip() {
-        IpAddr::V4(ip) => Some(Node::from(ip)),
-        IpAddr::V6(_) => None,
-    };
-    let mut nodes: Vec<Node> = addresses.iter().filter_map(v4).collect();
-    nodes.sort_unstable();
-    nodes.dedup();
-    nodes
 }
 
 impl Hive {
@@ -62,14 +50,10 @@
         let kept = found.await.wrap_err("`data_dir`")?;
         let empty = kept.is_none();
 
-        let seeds = nodes(&settings.seeds);
+        let seeds = seeds_of(&settings);
         let seed = clock.life.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(clock.me);
-        let founding = lupinledge_queen::Settings {
-            me: clock.me,
-            seeds: seeds.clone(),
-            bootstrap: settings.bootstrap,
-            seed,
-        };
+        let founding =
+            lupinledge_queen::Settings { me: clock.me, seeds, bootstrap: settings.bootstrap, seed };
         let agree = Agree::start(clock.clone(), founding, kept, store).wrap_err("`data_dir`")?;
         let card = Card {
             core: true,
@@ -81,60 +65,54 @@
             leaving: false,
             load: 0,
         };
-        let around = lupinledge_waggle::Settings::new(clock.me, clock.life, card, seeds, seed);
-        let members = Members::start(clock.clone(), around);
+        let dance = Dance::open(&settings, card, false).wrap_err("`port_range`")?;
         let brood = Brood::start(agree.clone(), platform.address, platform.rate_per_s);
         let counts = Counts::new(clock.clone(), agree.clone(), settings.zones.clone());
 
-        let here: Rc<OnceCell<Rc<Hive>>> = Rc::default();
-        let on_word = {
-            let here = here.clone();
-            Rc::new(move |from: Node, word: Word| {
-                if let Some(hive) = here.get() {
-                    hive.heard(from, word);
-                }
-            })
-        };
         let port = settings.peer_port();
-        let post = Post::open(clock.me, port, on_word).wrap_err_with(|| format!("`port_range`: {port}"))?;
         let hive = Rc::new(Hive {
             settings: RefCell::new(Rc::new(settings)),
-            clock: clock.clone(),
+            clock,
             agree: agree.clone(),
-            brood: brood.clone(),
+            brood,
             leaving: Cell::new(false),
             queued: Cell::new(0),
             turn: Mutex::new(()),
-            members: members.clone(),
+            dance: dance.clone(),
+            directory: Directory::default(),
             counts,
-            post: post.clone(),
-            news: OnceCell::new(),
         });
-        let _ = here.set(hive.clone());
-        let news = News::start(clock, agree.clone(), brood, members.clone(), post.clone());
-        let _ = hive.news.set(news);
-        members.run(post.clone());
-        agree.run(post.clone(), ends);
-        hive.counts.run(members, post);
+        let host: Rc<dyn Host> = hive.clone();
+        dance.attend(Rc::downgrade(&host));
+        hive.counts.run(dance.clone());
+        tokio::task::spawn_local(dance.clone().run());
+        agree.run(dance.post().clone(), ends);
+        tokio::task::spawn_local(hive.clone().tell());
         tokio::task::spawn_local(hive.clone().upkeep());
         tracing::info!(event = "started", node = %hive.settings.borrow().ip, port, empty);
         Ok(hive)
     }
 
-    fn heard(&self, from: Node, word: Word) {
-        self.counts.lives(from);
-        match word {
-            Word::Probe(packet) => self.members.heard(from, packet),
-            Word::Queen(msg) => self.agree.heard(from, msg),
-            Word::Want(digest) => self.news.get().into_iter().for_each(|n| n.wanted(from, &digest)),
-            Word::News { list, .. } => self.news.get().into_iter().for_each(|n| n.heard(list.clone())),
-            Word::Count { tag, life, calls } => self.counts.heard(&self.post, (from, life), tag, &calls),
-            Word::Told { life, told } => self.counts.told(from, life, &told),
-            Word::Clock { sent } if self.agree.leads().is_some() => {
-                self.post.cast(from, &Word::ClockIs { sent, hive: self.clock.hive() });
+    /// Makes what was agreed on, and the list that was read here, news for the others.
+    async fn tell(self: Rc<Hive>) {
+        loop {
+            tokio::select! {
+                _ = self.agree.news.notified() => {}
+                _ = self.brood.renewed.notified() => {}
             }
-            Word::ClockIs { sent, hive } if self.holds(from) => self.clock.adopt(sent, hive),
-            Word::Clock { .. } | Word::ClockIs { .. } | Word::Counted { .. } | Word::Hold { .. } => {}
+            let list = self.brood.list();
+            let newer = self.dance.held(|h| list.number > h.digest().list);
+            let agreed = self.agree.agreed().filter(|a| a.stamp > Stamp::default());
+            let news = News {
+                epoch: self.agree.last_holder().map(|(holder, epoch)| (epoch, holder)),
+                state: agreed.map(|a| ((a.stamp.epoch, a.stamp.index), a.bytes.clone())),
+                list: newer.then(|| (list.number, Rc::from(list.encode()))),
+            };
+            // what a former holder had to tell was told by it; gaps are found by digests
+            let leads = self.agree.leads().is_some();
+            self.dance.tell(news, if leads { Source::Origin } else { Source::Settled });
+            let ready = self.dance.held(|h| h.newest().state.is_some());
+            self.dance.set_card(|card| card.ready = ready);
         }
     }
 
@@ -152,13 +130,13 @@
             let holder = self.agree.holder().filter(|(node, _)| *node != self.clock.me);
             if holder.is_some() && (asked != holder || turns % CLOCK_EACH == 0) {
                 asked = holder;
-                holder
-                    .into_iter()
-                    .for_each(|(node, _)| self.post.cast(node, &Word::Clock { sent: self.clock.now() }));
+                holder.into_iter().for_each(|(node, _)| {
+                    self.dance.post().cast(node, &Word::Clock { sent: self.clock.now() })
+                });
             }
             if !self.agree.member() {
-                let mut cores = nodes(&self.settings.borrow().seeds);
-                self.members.with(|members| cores.extend(members.filter(|m| m.card.core).map(|m| m.node)));
+                let mut cores = seeds_of(&self.settings.borrow());
+                self.dance.with(|s| cores.extend(s.members().filter(|m| m.card.core).map(|m| m.node)));
                 self.agree.hint(&cores);
             }
             turns += 1;
@@ -168,13 +146,13 @@
 
     /// Goes by other settings from here on. Sockets stay: addresses do not change while a process runs.
     pub fn retell(&self, settings: Settings) {
-        self.agree.hint(&nodes(&settings.seeds));
+        self.agree.hint(&seeds_of(&settings));
         *self.settings.borrow_mut() = Rc::new(settings);
     }
 
     /// Where clients of a region may go.
     pub fn fronts(&self, region: &str) -> Vec<SocketAddr> {
-        self.members.fronts(region)
+        self.dance.with(|s| self.directory.fronts(s.members(), region))
     }
 
     /// For how long an answer of the directory is good.
@@ -185,16 +163,46 @@
     /// From here on no new command is taken, and the others know why.
     pub fn leave(&self) {
         self.leaving.set(true);
-        self.members.tell(|card| card.leaving = true);
+        self.dance.set_card(|card| card.leaving = true);
     }
 
     /// Nothing goes out any more.
     pub fn end(&self) {
         self.agree.fall_silent();
-        let counts = self.post.counts();
+        let counts = self.dance.post().counts();
         let (sent, cast, dropped) = (counts.sent.get(), counts.cast.get(), counts.dropped.get());
-        let (news, unreadable) = (self.news.get().map_or(0, |n| n.bytes.get()), self.brood.unreadable.get());
+        let (news, unreadable) = (self.dance.news_sent(), self.brood.unreadable.get());
         tracing::info!(event = "ended", sent, cast, dropped, news, unreadable);
-        self.post.close();
+        self.dance.post().close();
+    }
+}
+
+impl Host for Hive {
+    /// Documents come by agreement, and epochs with it.
+    fn news(&self, news: News) {
+        let Some((number, bytes)) = news.list.filter(|l| l.0 > self.brood.list().number) else { return };
+        match List::decode(&bytes).filter(|l| l.number == number) {
+            Some(list) => self.brood.heard(list),
+            None => tracing::warn!(event = "list_spoilt"),
+        }
+    }
+
+    fn word(&self, from: Node, word: Word) {
+        match word {
+            Word::Queen(msg) => self.agree.heard(from, msg),
+            Word::Count { tag, life, calls } => {
+                self.counts.heard(self.dance.post(), (from, life), tag, &calls)
+            }
+            Word::Told { life, told } => self.counts.told(from, life, &told),
+            Word::Clock { sent } if self.agree.leads().is_some() => {
+                self.dance.post().cast(from, &Word::ClockIs { sent, hive: self.clock.hive() });
+            }
+            Word::ClockIs { sent, hive } if self.holds(from) => self.clock.adopt(sent, hive),
+            _ => {}
+        }
+    }
+
+    fn lives(&self, from: Node) {
+        self.counts.lives(from);
     }
 }
--- a/hive/src/main.rs
+++ b/hive/src/main.rs
@@ -6,12 +6,11 @@
 mod command;
 mod control;
 mod counts;
+mod directory;
 mod hive;
-mod news;
 mod platform;
 mod run;
 mod store;
-mod swarm;
 
 use control::Control;
 use eyre::WrapErr;
