Module: the decisions in six files by concern, moved and not changed

Cause: src/control.rs held all concerns in one file of 832 lines; the next changes (quota, leases) meet the others'. Change: control (rounds, change of terms, the one place that acts), pool (limit, list, choice of a srv), intake (a req as it comes), line (waiters), flight (first dispatch to final answer), count (counter and peers). Each method is moved as it was; those called from another file are pub(crate). `blend` went to tables.rs beside `put_at`; two constants' comments are shorter. Ruled out: a file in each for the constants, and modules under control/: more lines, nothing gained.

--- /dev/null
+++ b/src/intake.rs
@@ -0,0 +1,133 @@
+//! A req as it comes: denied, charged to the counter first, or let in without an answer.
+
+use crate::{count::*, link::*, tables::*, time::*};
+
+impl Control {
+    pub(crate) fn customer(&mut self, id: u64, plan: usize, spread: f64) -> usize {
+        let (c, new) = self.door.enter(id);
+        if new {
+            let p = self.terms.plans[plan];
+            let others = 0.5 * p.at_once as f64 * (1.0 - 1.0 / spread); // until totals tell
+            let fresh = Customer::new(plan, spread, p.burst, others, self.now, self.began);
+            put_at(&mut self.customers, c, fresh);
+        }
+        self.customers[c].seen = self.now;
+        c
+    }
+
+    pub(crate) fn arrive(&mut self, n: NewReq) {
+        let c = self.customer(n.customer, n.plan, n.spread.max(1.0));
+        let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
+        self.customers[c].follow(n.plan, n.spread.max(1.0), p.burst);
+        // A repeat counts from its first try. First tries come with the same time left: where repeats are
+        // marked, the most that one without a mark had, else what most come with. What has less was cut by
+        // the client timeout, what has more is a last try, which has all that is left: both tell when the
+        // first one was. Unmarked, only of customers that also come with the usual time: some clients have
+        // short time-outs of their own. Wrong where most reqs are unmarked repeats
+        let (first, votes) = &mut self.first_left[frontend];
+        let usual = |first: Span| (first.secs() - n.left.secs()).abs() < 0.01 * f.timeout.secs();
+        if self.terms.marks_repeats {
+            (*first, *votes) = if n.repeat { (*first, *votes) } else { (n.left.max(*first), 10.0) };
+        } else {
+            *votes = (*votes + if usual(*first) { 1.0 } else { -1.0 }).min(100.0);
+            (*first, *votes) = if *votes < 0.0 { (n.left, 1.0) } else { (*first, *votes) };
+        }
+        let (first, known, usual) = (*first, *votes >= 10.0, usual(*first));
+        let cust = &mut self.customers[c];
+        cust.usual_left |= usual;
+        let cut = known && !usual && (n.repeat || !self.terms.marks_repeats && cust.usual_left);
+        // after a standstill of this gateway a first try may be as old as that: its time left tells
+        let aged = if known { (first - n.left).max(Span::ZERO).min(self.gap) } else { Span::ZERO };
+        let target = self.now + f.target - if cut { f.timeout - n.left } else { aged };
+        let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
+                                                                            // a late answer earns too: while nobody waits, what comes back past its target goes on to its end
+        let past = target < self.now.later(self.typical(frontend));
+        let late = past && self.terms.patient && f.late_value > 0.0 && self.line.waiting == 0;
+        let (past, target) = if late { (false, ends) } else { (past, target) };
+        self.further = self.terms.further.map_or(1.0, |(ratio, most)| (self.further + ratio).min(most));
+        let (id, units, zones) = (n.id, n.units, n.zones);
+        let r = Req { id, frontend, customer: c, units, ends, target, zones, ..Default::default() };
+        let slot = self.reqs.put(n.id, r);
+        self.wakes.push(ends, slot, n.id);
+        let (rated, cap) = (p.rate > 0.0, p.at_once as f64);
+        // behind more waiters than are answered while it can wait, it would only be denied later
+        let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
+        let patience = self.patience(frontend, n.plan);
+        // what is cheap beside others has no place in the line for free: at many gateways each is short
+        let few = if patience < 0.5 * f.target.secs() { 0.0 } else { 2.0f64.max(0.3 * self.limit) };
+        let served = |i: usize| n.zones >> self.srvs.zone[i].min(63) & 1 == 1;
+        let nowhere = n.zones != u64::MAX && !self.srvs.open().any(served);
+        // those of the same round that free places are there for are not behind anybody
+        let behind = self.line.waiting as f64 - (self.limit - self.out as f64).max(0.0);
+        let hopeless = behind > (answers * patience).max(few) || nowhere;
+        let short = rated && self.room(c) < n.units;
+        let (cust, crowd) = (&self.customers[c], self.crowd);
+        let recent = cust.quota.fresh(self.now, ROLL);
+        // those known to be near their quota or cap, or back here soon, are asked for before the calm
+        let keep =
+            if cust.admit < 1.0 || short { 1.0 - crowd.powi(4) } else { (1.0 - crowd).powi(3) }.max(0.1);
+        // a part cut long ago comes back by itself: the fewer are let through, the fewer totals tell
+        let back = cust.steered.map_or(1.0, |s| (0.03 * self.now.since(s)).exp());
+        // while places are free, the cheaper an overrun is, the more of the uncertain go through
+        let spare = self.line.waiting == 0 && self.used < 0.6 * self.limit;
+        let dear = if spare { p.overrun_cost.min(1.0) } else { 1.0 };
+        let through = crowd < 0.1 || self.rng.f64() < cust.admit.powf(dear) * back;
+        let asks = !self.silent && self.rng.f64() < keep;
+        // decided alone, a place needs room beside what the others had lately
+        let no_lease = cust.held >= cap || !asks && !self.lease_alone(c, cust.held + 1.0);
+        let sure = recent || !asks && (dear >= 1.0 || self.rng.f64() < dear);
+        // DESIGN: where a call is slow, the room that the last total left is divided, and not waited for
+        let ahead = asks && self.slow > 0.02 && recent && self.room(c) * self.share(c) >= n.units;
+        let (ask_quota, ask_lease, no_units) = (rated && asks && !ahead, cap > 0.0 && asks, short && sure);
+        // what is told by chance stands for those not asked; in silence all is told later
+        let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
+        let (charge, leased) = (
+            rated as u8 as f64 * n.units * weight,
+            (cap > 0.0) as u8 as f64 * weight.min((0.5 * cap).max(1.0)),
+        );
+        if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
+            return self.end(slot);
+        }
+        let share = if ask_quota { 1.0 } else { self.share(c) };
+        let cust = &mut self.customers[c];
+        cust.hold(1.0, leased);
+        (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
+        cust.quota.joins.extend(Some((slot, n.id, charge)).filter(|_| ask_quota));
+        cust.quota.urgent |= ahead;
+        cust.lease.joins.extend(Some((slot, n.id, leased)).filter(|_| ask_lease));
+        self.reqs.at_mut(slot).into_iter().for_each(|r| (r.charge, r.leased) = (charge, leased));
+        self.dirty.push(c);
+        match (ask_quota as u8 + ask_lease as u8, self.reqs.at_mut(slot)) {
+            (0, _) | (_, None) => self.admit(slot),
+            (verdicts, Some(r)) => (r.stage, r.verdicts) = (Stage::Charging, verdicts),
+        }
+    }
+
+    /// The hard ceiling: each gateway's slice, empty at a start, since a killed predecessor may have used it.
+    fn ceiling(&mut self, c: usize, units: f64) -> bool {
+        let cust = &mut self.customers[c];
+        let p = &self.terms.plans[cust.plan];
+        let slice = cust.slice(self.now, p.ceiling_rate, p.ceiling_burst);
+        let fits = p.ceiling_rate <= 0.0 || slice >= units;
+        cust.ceiling -= if fits { units } else { 0.0 };
+        fits
+    }
+
+    /// The customer's store as far as is known here: the last totals, what filled, what went out here.
+    pub(crate) fn room(&mut self, c: usize) -> f64 {
+        let p = &self.terms.plans[self.customers[c].plan];
+        self.customers[c].room(self.now, p.rate, p.burst)
+    }
+
+    /// Own recent part of the customer's use: at DESIGN's even split, customers gathered on few would starve.
+    pub(crate) fn share(&self, c: usize) -> f64 {
+        let cust = &self.customers[c];
+        let prior = 0.5 * self.terms.plans[cust.plan].burst.max(1.0);
+        ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
+    }
+
+    /// Without an answer: under the cap with what the others had lately. One each would pass it many times.
+    pub(crate) fn lease_alone(&self, c: usize, held: f64) -> bool {
+        held + self.customers[c].lease.others <= self.terms.plans[self.customers[c].plan].at_once as f64 + 0.5
+    }
+}
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -542,6 +542,11 @@
     }
 }
 
+/// Moves a smoothed figure towards a new one by a share of the way.
+pub fn blend(old: &mut f64, new: f64, share: f64) {
+    *old += (new - *old) * share;
+}
+
 /// Puts a value at an index that is there or the next one.
 pub fn put_at<T>(all: &mut Vec<T>, i: usize, v: T) {
     match all.get_mut(i) {
