--- a/src/control.rs
+++ b/src/control.rs
@@ -47,8 +47,7 @@
             self.second_at = Point::from_secs((now.secs() + LEAD).floor() + 1.0 - LEAD + 0.001);
         }
         if now.secs() % ROLL > ROLL - LEAD {
-            let all = &self.customers;
-            self.dirty.extend((0..all.len()).filter(|&c| all[c].leased > 1e-6));
+            self.dirty.extend((0..self.customers.len()).filter(|&c| self.customers[c].leased > 1e-6));
         }
         while let Some((_, slot)) = self.wakes.first(&self.reqs).filter(|w| w.0 <= now) {
             self.wakes.pop(); // those of reqs that are gone set no timer: they would be most of all wakeups
@@ -62,10 +61,8 @@
     fn change(&mut self, terms: Terms) {
         self.limit *= self.terms.gateways.max(1) as f64 / terms.gateways.max(1) as f64;
         let fresh = Control::new(terms);
-        let other = |f: usize| {
-            self.terms.frontends.get(f).is_none_or(|o| o.target != fresh.terms.frontends[f].target)
-        };
-        for f in (0..fresh.usual.len()).filter(|&f| other(f)) {
+        let target = |t: &Terms, f: usize| t.frontends.get(f).map(|f| f.target);
+        for f in (0..fresh.usual.len()).filter(|&f| target(&self.terms, f) != target(&fresh.terms, f)) {
             put_at(&mut self.usual, f, fresh.usual[f]);
             put_at(&mut self.tail, f, fresh.tail[f]);
             put_at(&mut self.first_left, f, Default::default());
--- a/src/count.rs
+++ b/src/count.rs
@@ -145,7 +145,7 @@
     /// the next name ahead of it; they stay in the old one, not asked again.
     pub(crate) fn put_counts(&mut self, c: usize, acts: &mut Vec<Action>) {
         let (now, share) = (self.now.secs(), self.share(c));
-        let cust = &self.customers[c];
+        let cust = &mut self.customers[c];
         if self.silent && cust.quota.joins.is_empty() && cust.lease.joins.is_empty() {
             if !self.terms.counter || self.now < self.trial_at {
                 return;
@@ -153,7 +153,6 @@
             // a trial each 200 ms, a hundred a second over all gateways: more would keep a counter down
             self.trial_at = self.now.later((self.terms.gateways as f64 / 100.0).max(0.2));
         }
-        let cust = &mut self.customers[c];
         let p = &self.terms.plans[cust.plan];
         let (q, l) = (&mut cust.quota, &mut cust.lease);
         let mut calls = Vec::new();
--- a/src/flight.rs
+++ b/src/flight.rs
@@ -6,9 +6,7 @@
     pub(crate) fn send(&mut self, slot: usize, srv: usize) {
         self.srvs.tokens[srv] -= 1.0; // counts while it is cold
         let Some(r) = self.reqs.at_mut(slot) else { return };
-        if !r.tries.is_empty() {
-            self.further -= self.terms.further.is_some() as u8 as f64;
-        }
+        self.further -= (!r.tries.is_empty() && self.terms.further.is_some()) as u8 as f64;
         if r.stage == Stage::Out {
             self.customers[r.customer].hold(1.0, r.leased); // the first dispatch has the lease of the queue
             self.dirty.push(r.customer);
@@ -190,8 +188,7 @@
     pub(crate) fn close(&mut self, id: u64) {
         let Some(slot) = self.reqs.of(id).map(|(slot, _)| slot) else { return };
         self.take_back(slot, false);
-        let Some(r) = self.reqs.at_mut(slot) else { return };
-        r.stage = Stage::Over;
+        self.reqs.at_mut(slot).into_iter().for_each(|r| r.stage = Stage::Over);
         self.touched.push(slot);
     }
 }
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -6,10 +6,9 @@
     pub(crate) fn customer(&mut self, id: u64, plan: usize, spread: f64) -> usize {
         let (c, new) = self.door.enter(id);
         if new {
-            let p = self.terms.plans[plan];
+            let (p, now) = (self.terms.plans[plan], self.now);
             let others = 0.5 * p.at_once as f64 * (1.0 - 1.0 / spread); // until totals tell
-            let fresh = Customer::new(plan, spread, p.burst, others, self.now, self.began);
-            put_at(&mut self.customers, c, fresh);
+            put_at(&mut self.customers, c, Customer::new(plan, spread, p.burst, others, now, self.began));
         }
         self.customers[c].seen = self.now;
         c
@@ -39,10 +38,10 @@
         // after a standstill of this gateway a first try may be as old as that: its time left tells
         let aged = if known { (first - n.left).max(Span::ZERO).min(self.gap) } else { Span::ZERO };
         let target = self.now + f.target - if cut { f.timeout - n.left } else { aged };
-        let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
-                                                                            // a late answer earns too: while nobody waits, what comes back past its target goes on to its end
+        // a late answer earns too: while nobody waits, what comes back past its target goes on to its end
         let past = target < self.now.later(self.typical(frontend));
         let late = past && self.terms.patient && f.late_value > 0.0 && self.line.waiting == 0;
+        let ends = self.now + n.left - self.terms.period - Span::millis(2); // ahead of the client timeout
         let (past, target) = if late { (false, ends) } else { (past, target) };
         self.further = self.terms.further.map_or(1.0, |(ratio, most)| (self.further + ratio).min(most));
         let (id, units, zones) = (n.id, n.units, n.zones);
@@ -81,10 +80,8 @@
         let (ask_quota, ask_lease, no_units) = (rated && asks && !ahead, cap > 0.0 && asks, short && sure);
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
-        let (charge, leased) = (
-            rated as u8 as f64 * n.units * weight,
-            (cap > 0.0) as u8 as f64 * weight.min((0.5 * cap).max(1.0)),
-        );
+        let charge = rated as u8 as f64 * n.units * weight;
+        let leased = (cap > 0.0) as u8 as f64 * weight.min((0.5 * cap).max(1.0));
         if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
             return self.end(slot);
         }
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -138,13 +138,8 @@
         let most = f.max_dispatches as usize;
         let barred = r.zones >> s.zone[i].min(63) & 1 == 0 || !r.tries.is_empty() && self.further < 1.0;
         let twice = |t: &Try| t.running && (t.srv == i || !self.terms.may_duplicate);
-        if !s.ready[i]
-            || barred
-            || r.tries.len() >= most
-            || r.begun
-            || r.end.is_some()
-            || r.tries.iter().any(twice)
-        {
+        let over = r.begun || r.end.is_some() || r.tries.len() >= most;
+        if !s.ready[i] || barred || over || r.tries.iter().any(twice) {
             return false;
         }
         let Some(first) = r.tries.iter().find(|t| t.ran) else { return true };
