Leases in the system: each request holds one to its outcome, told with its charge

The operators' configuration names no cap; what follows from it is: in flight within its quota is at most what comes in the longest time that any request is held, rate x that + burst. That is the cap on a tenant's leases, over all gateways. Change: forager's terms give the cap. In the module, a lease far below its cap goes with the charge's call and is not waited for where the counter is far (the rule that charges had); one given back far below its cap comes with the next call or 0.3 s later, since a call of its own would double the words. The line's weight is the burst where a plan has a quota: a cap of some hundreds would make turns of seconds. Calls and totals are told in short whole numbers (sixteenths; sums, so rounding does not add up), a test says how short. Scenario `held` breaks without either half of the change.

--- a/forager/src/ledger.rs
+++ b/forager/src/ledger.rs
@@ -7,7 +7,7 @@
 use lupinledge::time::Span;
 use lupinledge_comb::exchange::{CounterSide, Exchange};
 use lupinledge_nectar::own::Own;
-use lupinledge_wax::{Node, Post, Word};
+use lupinledge_wax::{parts, units, Node, Post, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
@@ -40,7 +40,7 @@
 /// All calls of this process.
 pub struct Ledger {
     post: Rc<Post>,
-    life: u32,
+    life: u16,
     began: Instant,
     holder: Cell<(u64, Node)>,
     given: Cell<u64>,
@@ -51,7 +51,7 @@
 
 impl Ledger {
     /// With no holder known yet: calls fail at once. Another start of the process has another `life`.
-    pub fn start(post: Rc<Post>, life: u32) -> Rc<Ledger> {
+    pub fn start(post: Rc<Post>, life: u16) -> Rc<Ledger> {
         let ledger = Rc::new(Ledger {
             post,
             life,
@@ -99,19 +99,19 @@
     }
 
     /// Hands on the totals of a word; none: that process is not the holder, and nothing was added.
-    pub fn counted(&self, from: Node, tag: u64, totals: &[f64]) {
+    pub fn counted(&self, from: Node, tag: u64, totals: &[i64]) {
         let sent = {
             let mut waiting = self.waiting.borrow_mut();
             let at = waiting.iter().position(|s| s.tag == tag && s.to == from);
             at.and_then(|at| waiting.remove(at))
         };
         let Some(sent) = sent else { return };
-        if totals.len() != sent.calls.len() || totals.iter().any(|t| !t.is_finite()) {
+        if totals.len() != sent.calls.len() {
             return self.fail(sent.calls, Outcome::Full);
         }
-        for (call, total) in sent.calls.into_iter().zip(totals) {
-            self.own.borrow_mut().total(call.name, call.sum, *total);
-            call.pool.upgrade().into_iter().for_each(|p| p.counted(call.name, *total, Outcome::Passed));
+        for (call, total) in sent.calls.into_iter().zip(totals.iter().map(|t| units(*t))) {
+            self.own.borrow_mut().total(call.name, call.sum, total);
+            call.pool.upgrade().into_iter().for_each(|p| p.counted(call.name, total, Outcome::Passed));
         }
     }
 
@@ -136,7 +136,7 @@
         let (mut words, mut calls) = (Vec::with_capacity(batch.len()), Vec::with_capacity(batch.len()));
         for (pool, name, amount, life) in batch {
             let sum = self.own.borrow_mut().add(now, name, amount, f64::from(life));
-            words.push((name, sum, life));
+            words.push((name, parts(sum), life.ceil() as u16));
             calls.push(Call { pool, name, amount, sum });
         }
         let (_, to) = self.holder.get();
--- a/forager/src/start.rs
+++ b/forager/src/start.rs
@@ -95,7 +95,7 @@
         load: 0,
     };
     let dance = Dance::open(&told, card, true).wrap_err("`port_range`")?;
-    let ledger = Ledger::start(dance.post().clone(), seed as u32 ^ (seed >> 32) as u32);
+    let ledger = Ledger::start(dance.post().clone(), (seed / 1000) as u16 ^ (seed >> 32) as u16);
     let nest = Nest::new(told.clone(), dance.clone(), ledger.clone());
     tokio::task::spawn_local(dance.clone().run());
     let gate = open("front", told.listen.front, &client_places)?;
--- a/forager/src/terms.rs
+++ b/forager/src/terms.rs
@@ -90,9 +90,12 @@
     }
 }
 
-fn plan(t: &Tenant) -> Plan {
+/// `longest`: the longest that any request is held. What a tenant has in flight within its quota is no more than
+/// comes in that time: the cap on its leases.
+fn plan(t: &Tenant, longest: f64) -> Plan {
     Plan {
         rate: t.rate,
+        at_once: (t.rate * longest + t.burst).ceil() as u32 * (t.rate > 0.0) as u32,
         // of a large one a fifth is kept for what gateways decide alone, without each other's last sends; a small
         // one, whose clumps are few, is read with some room, far within what the rule leaves
         burst: if t.rate > 0.0 { (0.8 * t.burst + 6.0).min(t.burst + 3.0) } else { 0.0 },
@@ -134,9 +137,10 @@
         let services = r.services.iter().filter(|s| s.1 > 0.0).map(|s| s.0).collect::<Vec<_>>();
         routes.of(&r.key).into_iter().for_each(|i| frontends[i] = (frontend(r), services.clone()));
     }
+    let longest = tables.routes().iter().map(|r| r.timeout).fold(0.0, f64::max);
     let mut plans = vec![FREE; 1 + tenants.renew(tables.tenants().iter().map(|t| t.name.as_str()))];
     for t in tables.tenants() {
-        tenants.of(&t.name).into_iter().for_each(|i| plans[1 + i] = plan(t));
+        tenants.of(&t.name).into_iter().for_each(|i| plans[1 + i] = plan(t, longest));
     }
     (frontends, plans)
 }
--- a/forager/tests/rules/hive.rs
+++ b/forager/tests/rules/hive.rs
@@ -6,7 +6,7 @@
 use lupinledge_queen::Stamp;
 use lupinledge_waggle::{Card, Source};
 use lupinledge_wax::list::{List, Row};
-use lupinledge_wax::{encode, Node, Word};
+use lupinledge_wax::{encode, parts, units, Node, Word};
 use serde_bytes::ByteBuf;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -47,10 +47,11 @@
             Word::Clock { sent } => Word::ClockIs { sent, hive: 1000.0 + self.dance.now() },
             Word::Count { tag, calls, .. } => {
                 let mut sums = self.totals.borrow_mut();
-                let add = |(name, sum, _): (u64, f64, f32)| {
+                let add = |(name, sum, _): (u64, i64, u16)| {
+                    let sum = units(sum);
                     let before = sums.insert(name, sum).unwrap_or(0.0);
                     self.added.fetch_add((sum - before).max(0.0) as u64, Ordering::SeqCst);
-                    sum + self.others.load(Ordering::SeqCst) as f64
+                    parts(sum + self.others.load(Ordering::SeqCst) as f64)
                 };
                 let totals = calls.into_iter().map(add).collect();
                 Word::Counted { tag, epoch: 1, totals }
--- a/hive/src/counts.rs
+++ b/hive/src/counts.rs
@@ -9,7 +9,7 @@
 use lupinledge_propolis::Tables;
 use lupinledge_queen::Node;
 use lupinledge_waggle::{Member, Standing};
-use lupinledge_wax::{Post, Word};
+use lupinledge_wax::{parts, units, Post, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -88,7 +88,7 @@
         held.counters.close(now, &edges);
         tracing::info!(event = "counters_whole", epoch, missing = edges.len(), waiting = held.waiting.len());
         for (from, tag, names) in std::mem::take(&mut held.waiting) {
-            let totals = names.into_iter().map(|n| held.counters.total(n)).collect();
+            let totals = names.into_iter().map(|n| parts(held.counters.total(n))).collect();
             dance.post().send(from.0, &Word::Counted { tag, epoch, totals });
         }
         true
@@ -102,7 +102,7 @@
     }
 
     /// What a gateway told the holder before this one.
-    pub fn told(&self, from: Node, life: u32, told: &[(u64, f64, f64, f64, f32)]) {
+    pub fn told(&self, from: Node, life: u16, told: &[(u64, f64, f64, f64, f32)]) {
         let Some(epoch) = self.agree.leads() else { return };
         let told = told.iter().take(CALLS_MOST).map(|&(name, sum, within, total, life)| {
             let life = f64::from(life);
@@ -114,7 +114,7 @@
     }
 
     /// Takes sums, and answers with the totals as soon as they are whole; without the duty, with none.
-    pub fn heard(&self, post: &Post, from: Life, tag: u64, calls: &[(u64, f64, f32)]) {
+    pub fn heard(&self, post: &Post, from: Life, tag: u64, calls: &[(u64, i64, u16)]) {
         let Some(epoch) = self.agree.leads() else {
             return post.send(from.0, &Word::Counted { tag, epoch: 0, totals: Vec::new() });
         };
@@ -122,9 +122,10 @@
         let held = self.hold(&mut held, epoch);
         let calls = &calls[..calls.len().min(CALLS_MOST)];
         let counters = &mut held.counters;
-        let totals =
-            calls.iter().map(|(name, sum, life)| counters.put(now, from, *name, *sum, f64::from(*life)));
-        let totals: Vec<f64> = totals.collect();
+        let totals = calls
+            .iter()
+            .map(|(name, sum, life)| parts(counters.put(now, from, *name, units(*sum), f64::from(*life))));
+        let totals: Vec<i64> = totals.collect();
         if held.counters.whole() {
             post.send(from.0, &Word::Counted { tag, epoch, totals });
         } else if held.waiting.len() < WAITING_MOST {
--- a/nectar/src/lib.rs
+++ b/nectar/src/lib.rs
@@ -41,7 +41,7 @@
 }
 
 /// One process of a gateway: its address, and a number that another start of it does not have.
-pub type Life = (Node, u32);
+pub type Life = (Node, u16);
 
 #[derive(Clone, Debug)]
 struct Name {
--- a/src/count.rs
+++ b/src/count.rs
@@ -170,8 +170,12 @@
             let epoch = (now / ROLL) as u64;
             l.roll(epoch);
             let (diff, ahead) = (cust.leased - l.put, cust.leased - l.put_next);
-            if !l.joins.is_empty() || diff.abs() > 1e-6 {
-                l.put += diff;
+            // far below the cap a lease comes back with the next call: one of its own tells nobody anything
+            let rare = cust.held + l.others + 2.0 < 0.5 * p.at_once as f64 && self.now.since(l.called) < 0.3;
+            let wait = diff.abs() > 1e-6 && rare && calls.is_empty() && l.joins.is_empty();
+            self.dirty.extend(Some(c).filter(|c| wait && !self.dirty.contains(c)));
+            if !l.joins.is_empty() || diff.abs() > 1e-6 && !wait {
+                (l.put, l.called) = (l.put + diff, self.now);
                 calls.push((true, epoch, diff, std::mem::take(&mut l.joins)));
             }
             if now % ROLL > ROLL - LEAD && ahead.abs() > 1e-6 {
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -76,8 +76,10 @@
         let no_lease = cust.held >= cap || !asks && !self.lease_alone(c, cust.held + 1.0);
         let sure = recent || !asks && (dear >= 1.0 || self.rng.f64() < dear);
         // DESIGN: where a call is slow, the room that the last total left is divided, and not waited for
-        let ahead = asks && self.slow > 0.02 && recent && self.room(c) * self.share(c) >= n.units;
-        let (ask_quota, ask_lease, no_units) = (rated && asks && !ahead, cap > 0.0 && asks, short && sure);
+        let (far, places) = (asks && self.slow > 0.02 && recent, cap - cust.held - cust.lease.others);
+        let ahead = far && self.room(c) * self.share(c) >= n.units;
+        let ask_lease = cap > 0.0 && asks && !(far && places * self.share(c) >= 1.0);
+        let (ask_quota, no_units) = (rated && asks && !ahead, short && sure);
         // what is told by chance stands for those not asked; in silence all is told later
         let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
         let charge = rated as u8 as f64 * n.units * weight;
--- a/src/line.rs
+++ b/src/line.rs
@@ -38,8 +38,8 @@
                 continue;
             };
             let p = &self.terms.plans[self.customers[c].plan];
-            // the weight: as many of the largest reqs as the plan lets a customer have out at once
-            let weight = (p.burst / self.terms.largest).max(p.at_once as f64).max(1.0);
+            // the weight: as many of the largest reqs as the plan lets a customer have at once
+            let weight = if p.rate > 0.0 { p.burst / self.terms.largest } else { p.at_once as f64 }.max(1.0);
             let deficit = self.line.leave();
             *deficit += if *deficit < 1.0 { weight - 1.0 } else { -1.0 };
             if *deficit < 1.0 {
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -292,6 +292,7 @@
 #[test_case("unseen"; "what others send meanwhile is reckoned by the own sends")]
 #[test_case("waits"; "what may have run at a sick srv is waited for")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
+#[test_case("held"; "leases far below the cap go with the charges")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(path).expect("the scenario");
--- a/wax/src/word.rs
+++ b/wax/src/word.rs
@@ -34,9 +34,9 @@
         /// Comes back with the answer.
         tag: u64,
         /// Another start of the sender has another one.
-        life: u32,
-        /// Name, sum, and for how many seconds after its last use the name is kept.
-        calls: Vec<(u64, f64, f32)>,
+        life: u16,
+        /// Name, sum ([`parts`]), and for how many seconds after its last use the name is kept.
+        calls: Vec<(u64, i64, u16)>,
     },
     /// From a new holder: I hold the counters under this epoch; tell me what you had told.
     #[serde(rename = "h")]
@@ -48,7 +48,7 @@
     #[serde(rename = "o")]
     Told {
         /// As in counts.
-        life: u32,
+        life: u16,
         /// Of each name: the sum, what of it was in the last total, that total, and the name's life.
         told: Vec<(u64, f64, f64, f64, f32)>,
     },
@@ -59,8 +59,8 @@
         tag: u64,
         /// The epoch under which they are counted.
         epoch: u64,
-        /// One a call; empty: I am not the holder.
-        totals: Vec<f64>,
+        /// One a call ([`parts`]); empty: I am not the holder.
+        totals: Vec<i64>,
     },
     /// What does your clock show?
     #[serde(rename = "k")]
@@ -78,6 +78,20 @@
     },
 }
 
+/// Units are told in so many parts of one: small whole numbers are short, and as sums are told, what is rounded off
+/// does not add up.
+const PARTS: f64 = 16.0;
+
+/// Units as they are told.
+pub fn parts(units: f64) -> i64 {
+    (units * PARTS).round() as i64
+}
+
+/// Told parts as units.
+pub fn units(parts: i64) -> f64 {
+    parts as f64 / PARTS
+}
+
 /// Appends a word to a buffer. Nothing is appended on an error.
 pub fn encode<T: Serialize>(word: &T, to: &mut Vec<u8>) -> Result<(), rmp_serde::encode::Error> {
     let start = to.len();
--- a/wax/tests/words.rs
+++ b/wax/tests/words.rs
@@ -2,7 +2,7 @@
 
 use lupinledge_waggle::{Body, Card, Digest, Packet, Rumour, Standing};
 use lupinledge_wax::list::{List, Row};
-use lupinledge_wax::{clock::Estimate, decode, encode, Word};
+use lupinledge_wax::{clock::Estimate, decode, encode, parts, Word};
 
 fn bytes(word: &Word) -> Vec<u8> {
     let mut bytes = Vec::new();
@@ -57,7 +57,7 @@
             state: Some(((1, 2), vec![1, 2, 3].into())),
             list: Some(((1, 2), vec![0; 300].into())),
         },
-        Word::Count { tag: 1, life: 9, calls: vec![(5, 1.0, 8.0)] },
+        Word::Count { tag: 1, life: 9, calls: vec![(5, 16, 8)] },
         Word::Hold { epoch: 4 },
         Word::Told { life: 9, told: vec![(5, 2.0, 1.0, 7.0, 8.0)] },
         Word::Counted { tag: 1, epoch: 3, totals: vec![] },
@@ -111,10 +111,8 @@
 
 #[test]
 fn spoiled_words_are_read_without_a_panic() {
-    let good = [
-        bytes(&Word::Probe(packet(2))),
-        bytes(&Word::Count { tag: 1, life: 9, calls: vec![(5, 1.0, 8.0); 4] }),
-    ];
+    let good =
+        [bytes(&Word::Probe(packet(2))), bytes(&Word::Count { tag: 1, life: 9, calls: vec![(5, 16, 8); 4] })];
     bolero::check!().exhaustive().with_generator(0u64..10_000).for_each(|seed| {
         let mut chance = Chance(*seed);
         let mut bytes = good[chance.below(2)].clone();
@@ -145,3 +143,18 @@
     (0..8).for_each(|i| clock.sample(20.0 + f64::from(i), 121.0 + f64::from(i), 20.5 + f64::from(i)));
     assert!(clock.theirs(30.0).is_some_and(|t| (t - 130.75).abs() < 1e-9));
 }
+
+/// What customers' requests cost between the processes: a charge and a lease, and their totals.
+#[test]
+fn a_request_is_counted_in_few_bytes() {
+    let name = 0x00ab_cdef_0123_4567;
+    let calls = vec![(name, parts(700.0), 60), (name + 1, parts(12.0), 4)];
+    let asked = bytes(&Word::Count { tag: 9000, life: 50_000, calls }).len();
+    let told =
+        bytes(&Word::Counted { tag: 9000, epoch: 4_462_805_007, totals: vec![parts(4000.0), parts(90.0)] })
+            .len();
+    assert!(asked <= 45 && told <= 24, "{asked}, {told}");
+    for units in [0.0, -3.0, 1.0, 12_345.0, 0.5, 1e9] {
+        assert_eq!(lupinledge_wax::units(parts(units)), units);
+    }
+}
