Forager: at the start the clock is asked of all that may hold the duty, the links are there before the news

Ruled out: reading the list (20 ms behind the election), decoding and opening the pools (1 to 2 ms in the log).

Change: until the clock is known all seeds and the holder are asked for it each 0.1 s (the holder alone answers, as before), and each member of the hive that was heard gets one Want, by which a link to it is there. One that was not heard gets none: a link to a machine without power would hang for a second.

Test: a seed is asked for the clock with no holder known (it is not without the change).

--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -2,19 +2,24 @@
 
 use crate::ledger::Ledger;
 use crate::pools::Pools;
-use lupinledge_dance::{Dance, Host, News};
+use lupinledge_dance::{seeds_of, Dance, Host, News};
 use lupinledge_propolis::{Document, Settings, Tables};
+use lupinledge_waggle::{Member, Standing};
 use lupinledge_wax::clock::Estimate;
 use lupinledge_wax::list::List;
 use lupinledge_wax::{decode, Node, Word};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// The number of gateways that what all may do together is divided by: the most there were lately.
 const LATELY: f64 = 45.0;
 const UPKEEP: Duration = Duration::from_millis(500);
+/// The hive's clock is asked for again after so long.
+const ASK: Duration = Duration::from_millis(100);
 /// Seconds from the start until this process is ready, as measured: where there is a holder, and from when on a new
 /// one is to be expected.
 const JOIN: f64 = 0.25;
@@ -28,6 +33,8 @@
     pools: RefCell<Option<Rc<Pools>>>,
     estimate: RefCell<Estimate>,
     serial: Cell<u64>,
+    /// Members of the hive to which a link was opened at the start.
+    linked: RefCell<BTreeSet<Node>>,
     pub woken: Notify,
 }
 
@@ -41,6 +48,7 @@
             pools,
             estimate,
             serial: Cell::new(0),
+            linked: RefCell::default(),
             woken: Notify::new(),
         });
         let host: Rc<dyn Host> = nest.clone();
@@ -48,9 +56,11 @@
         nest
     }
 
-    /// Asks the holder for the hive's clock until it is known; after `most`, the own one has to do.
+    /// Asks for the hive's clock until it is known; after `most`, the own one has to do. The holder alone answers,
+    /// and who that is may be settled at any moment: all that may be it are asked.
     pub async fn clock(&self, most: Duration) -> lupinledge_comb::clock::Clock {
-        let began = tokio::time::Instant::now();
+        let began = Instant::now();
+        let (mut asked, mut again) = (0, began);
         loop {
             if let Some(now) = self.estimate.borrow().theirs(self.dance.now()) {
                 return lupinledge_comb::clock::Clock::showing(now);
@@ -60,13 +70,34 @@
                 return lupinledge_comb::clock::Clock::start();
             }
             let holder = self.dance.held(|h| h.epoch().1);
-            if holder != 0 {
-                self.dance.post().cast(holder, &Word::Clock { sent: self.dance.now() });
+            if Instant::now() >= again || holder != asked {
+                (asked, again) = (holder, Instant::now() + ASK);
+                self.ask(holder);
             }
-            let _ = tokio::time::timeout(Duration::from_millis(300), self.woken.notified()).await;
+            let _ = tokio::time::timeout_at(again, self.woken.notified()).await;
         }
     }
 
+    fn ask(&self, holder: Node) {
+        let mut hives = seeds_of(&self.settings);
+        hives.push(holder);
+        let there = |m: &&Member| m.card.core && m.standing == Standing::Alive && m.heard.is_finite();
+        let there: Vec<Node> = self.dance.with(|s| s.members().filter(there).map(|m| m.node).collect());
+        hives.extend(&there);
+        hives.sort_unstable();
+        hives.dedup();
+        for hive in hives.into_iter().filter(|h| *h != 0) {
+            self.dance.post().cast(hive, &Word::Clock { sent: self.dance.now() });
+        }
+        // also, from here on there is a link for the news; to one that may be down it would hang for long
+        let mut linked = self.linked.borrow_mut();
+        let own = self.dance.held(|h| h.digest());
+        there
+            .into_iter()
+            .filter(|h| linked.insert(*h))
+            .for_each(|h| self.dance.post().send(h, &Word::Want(own)));
+    }
+
     /// In how many seconds this process may be ready, by what it has heard yet.
     pub fn soon(&self) -> f64 {
         match self.dance.held(|h| h.epoch().1) {
--- a/forager/tests/start.rs
+++ b/forager/tests/start.rs
@@ -1,8 +1,10 @@
 //! Starts the program with nobody around, and speaks to it over a socket.
 
+use lupinledge_wax::{decode, Word};
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 const LONG: Duration = Duration::from_secs(10);
@@ -23,10 +25,18 @@
     TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).and_then(|l| l.local_addr()).expect("a port").port()
 }
 
-/// The program among seeds that answer nothing, and its address for clients.
-fn start() -> (Forager, SocketAddr) {
-    let (front, ready, first, seed) = (port(), port(), port(), port());
-    let path = std::env::temp_dir().join(format!("lupinledge-forager-{}.json", std::process::id()));
+/// The program with a seed that answers nothing, its address for clients, and the seed's datagrams.
+fn start() -> (Forager, SocketAddr, UdpSocket) {
+    static FILES: AtomicU64 = AtomicU64::new(0);
+    let (front, ready, seed) = (port(), port(), port());
+    let (first, hive) = loop {
+        let first = port();
+        if let Ok(hive) = UdpSocket::bind(("127.0.0.2", first)) {
+            break (first, hive);
+        }
+    };
+    let nth = FILES.fetch_add(1, Ordering::Relaxed);
+    let path = std::env::temp_dir().join(format!("lupinledge-forager-{}-{nth}.json", std::process::id()));
     let text = format!(
         r#"{{"node_name": "edge-1", "role": "forager", "machine_class": "edge", "serves": ["edge"], "ip": "127.0.0.1",
         "zone": "z", "region": "r", "zones": {{"z": "r"}}, "port_range": [{first}, {first}],
@@ -39,7 +49,8 @@
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::null());
-    (Forager(program.spawn().expect("the program"), path), SocketAddr::from((Ipv4Addr::LOCALHOST, front)))
+    let program = Forager(program.spawn().expect("the program"), path);
+    (program, SocketAddr::from((Ipv4Addr::LOCALHOST, front)), hive)
 }
 
 /// With nobody to learn the state from, clients are answered all the same, at once and with when to come back; the
@@ -47,7 +58,7 @@
 #[test]
 fn a_client_is_answered_before_the_state_is_here() {
     let began = Instant::now();
-    let (_forager, front) = start();
+    let (_forager, front, _) = start();
     let mut stream = loop {
         match TcpStream::connect(front) {
             Ok(stream) => break stream,
@@ -67,3 +78,18 @@
     let after: f64 = after.parse().expect("seconds");
     assert!((0.2..=2.0).contains(&after), "{after}");
 }
+
+/// The clock is asked of whoever may come to hold the duty, before anyone is known to.
+#[test]
+fn the_clock_is_asked_for_before_there_is_a_holder() {
+    let (_forager, _, hive) = start();
+    hive.set_read_timeout(Some(LONG)).expect("a time-out");
+    let (began, mut datagram) = (Instant::now(), [0; 2048]);
+    loop {
+        let (size, _) = hive.recv_from(&mut datagram).expect("a word");
+        if matches!(decode(&datagram[..size]), Ok(Word::Clock { .. })) {
+            break;
+        }
+        assert!(began.elapsed() < Duration::from_secs(2), "the clock is not asked for");
+    }
+}
