Waggle: a process that thawed asks those of whom old words waited and others say they are gone

Cause: datagrams of one that ended wait in the socket of a process that stands still. At the thaw they count as heard just now, so that the others' verdict is not believed (FRESH), and the ping that tells the doubted one of it was nobody's probe: no answer changed nothing. Only the thawed one's own probes found out, by chance among far ones.

Change: that ping is a probe.

Tried and dropped: the same for one that is suspected and then speaks (it needs reordered datagrams; no test showed a difference), and answers at the very instant of a probe.

--- a/waggle/src/hear.rs
+++ b/waggle/src/hear.rs
@@ -207,11 +207,12 @@
             };
             match entry.member.standing {
                 Standing::Alive if now - entry.member.heard < FRESH => {
-                    // it is there, and can say so itself once it knows
+                    // if it is there it can say so itself once it knows
                     if entry.again <= now {
                         entry.again = now + FRESH / 2.0;
                         let (standing, card) = (word.standing, None);
-                        let mut tell = self.bare(word.node, Body::Ping { n: 0 });
+                        let n = self.verify(now, word.node);
+                        let mut tell = self.bare(word.node, Body::Ping { n });
                         tell.rumours.push(Rumour { standing, card, ..word });
                         out.push((word.node, tell));
                     }
--- a/waggle/src/probes.rs
+++ b/waggle/src/probes.rs
@@ -142,6 +142,17 @@
         }
     }
 
+    /// The number of a probe for one that spoke though others doubt it, unless one is under way: words of before it
+    /// ended may have waited here while this process stood still, and only an answer says that it is there.
+    pub(crate) fn verify(&mut self, now: f64, of: Node) -> u32 {
+        if let Some(probe) = self.ways.probes.iter().find(|p| p.of == of) {
+            return probe.n;
+        }
+        let (n, due) = (self.ways.number(), now + self.set.ack);
+        self.ways.probes.push(Probe { n, of, sent: now, due, helped: false, alone: true });
+        n
+    }
+
     /// Asks others to ask that one.
     fn help(&mut self, now: f64, n: u32, of: Node, out: &mut Vec<(Node, Packet)>) {
         for helper in self.few(HELPERS, |m| m.node != of) {
--- a/waggle/tests/seen.rs
+++ b/waggle/tests/seen.rs
@@ -2,6 +2,7 @@
 
 mod net;
 
+use lupinledge_waggle::Standing;
 use net::Net;
 
 /// Some faults, one after the other, each with time to settle. Every view is compared with who is up all
@@ -70,3 +71,23 @@
 fn days_with_loss() {
     bolero::check!().exhaustive().with_generator(100u64..110).for_each(|seed| day(*seed, 0.05).unwrap());
 }
+
+/// One that stood still finds words of one that ended meanwhile, and what others say of that one: it is soon not taken
+/// for alive any more.
+#[test]
+fn words_that_waited_are_no_sign_of_life() {
+    bolero::check!().exhaustive().with_generator(200u64..230).for_each(|seed| {
+        let mut chance = fastrand::Rng::with_seed(*seed);
+        let n = chance.usize(8..=24);
+        let mut net = Net::new(n, 2, 0.0, *seed);
+        net.run(net.now + 6.0);
+        let (still, ends) = (chance.usize(..n / 2), chance.usize(n / 2..n));
+        net.freeze(still, true);
+        net.run(net.now + 1.0 + chance.f64());
+        net.kill(ends);
+        net.run(net.now + 1.0 + 4.0 * chance.f64());
+        net.freeze(still, false);
+        net.run(net.now + 2.2);
+        assert_eq!(net.view(still, ends), Some(Standing::Gone), "{still} stood still, {ends} ended");
+    });
+}
