Hive: three processes on loopback, as an operator meets them

Change: two tests start three hives at loopback addresses of their own, on ports found free (others on a clash), with a stand-in for the platform's list. One has a configuration taken, taken again, refused (400, 412, 404, 405), read back at each member by 307, and sends bytes of nobody's protocol to both sides: 4xx, no process ends. The other kills two of three (the holder left alone gives neither 200 nor 412, nor reads back), starts all anew from their disks, wipes one, has the system go on with the wiped one in its majority, and at last without the holder that the wiped one learnt from.

The hive logs when it begins or ceases to count in the agreement (event=member). The test needs it: a wiped member learns from both others, and knows the holder before that.

--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -35,6 +35,7 @@
     agreed: RefCell<Option<Rc<Agreed>>>,
     led: Cell<Option<u64>>,
     known: Cell<Option<(Node, u64)>>,
+    counts: Cell<Option<bool>>,
     due: Cell<f64>,
     wake: Notify,
     turned: Notify,
@@ -64,6 +65,7 @@
             agreed: RefCell::default(),
             led: Cell::new(None),
             known: Cell::new(None),
+            counts: Cell::new(None),
             due: Cell::new(0.0),
             wake: Notify::new(),
             turned: Notify::new(),
@@ -135,6 +137,10 @@
         let (led, known, due) =
             (queen.leads(self.clock.now()), queen.holder(self.clock.now()), queen.next_wake());
         drop(queen);
+        let counts = Some(self.member());
+        if self.counts.replace(counts) != counts {
+            tracing::info!(event = "member", counts);
+        }
         let known = led.map(|epoch| (self.me(), epoch)).or(known).or(self.known.get());
         if self.known.replace(known) != known {
             news = true;
--- /dev/null
+++ b/hive/tests/core.rs
@@ -0,0 +1,279 @@
+//! Three processes of the core on loopback, as an operator meets them: what was acknowledged outlives kills, and who
+//! can't speak for the whole does not.
+
+#[path = "../../propolis/tests/common/mod.rs"]
+mod config;
+
+use lupinledge_example::http::{self, Client};
+use serde_json::json;
+use std::io::{BufReader, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(15);
+const CONFIG: &str = "/lupinledge/config";
+
+/// Waits until something is there; fails when it never is.
+fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(start.elapsed() < LONG, "never: {what}");
+        sleep(Duration::from_millis(20));
+    }
+}
+
+/// The platform, whose list is one server; returns its address and how often it was asked.
+fn platform() -> (SocketAddr, Arc<AtomicUsize>) {
+    let gate = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (addr, asked) = (gate.local_addr().unwrap(), Arc::new(AtomicUsize::new(0)));
+    let count = asked.clone();
+    spawn(move || {
+        for stream in gate.incoming().map_while(Result::ok) {
+            let count = count.clone();
+            spawn(move || {
+                let mut from = BufReader::new(stream);
+                while let Ok(Some(_)) = http::read(&mut from) {
+                    count.fetch_add(1, Ordering::Relaxed);
+                    let row = json!({"id": "i-1", "service": "huvo11a", "address": "127.0.0.1:9", "slots": 3,
+                                     "zone": "harju-kadaka", "state": "ready"});
+                    let body = json!({ "instances": [row] }).to_string();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                    if from.get_mut().write_all((head + &body).as_bytes()).is_err() {
+                        break;
+                    }
+                }
+            });
+        }
+    });
+    (addr, asked)
+}
+
+/// A port that is free at all of these, also for datagrams.
+fn free(ips: &[Ipv4Addr]) -> u16 {
+    until("a free port", || {
+        let first = TcpListener::bind((ips[0], 0)).ok()?;
+        let port = first.local_addr().ok()?.port();
+        let links = ips[1..].iter().all(|ip| TcpListener::bind((*ip, port)).is_ok());
+        (links && ips.iter().all(|ip| UdpSocket::bind((*ip, port)).is_ok())).then_some(port)
+    })
+}
+
+/// The core, and how to reach it. What it leaves is ended and removed when dropped.
+struct Core {
+    ips: [Ipv4Addr; 3],
+    control: u16,
+    peers: u16,
+    platform: SocketAddr,
+    asked: Arc<AtomicUsize>,
+    dir: PathBuf,
+    running: [Option<Child>; 3],
+}
+
+impl Drop for Core {
+    fn drop(&mut self) {
+        (0..3).for_each(|i| self.kill(i));
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Core {
+    /// Founds a core at addresses of its own and has it take the first configuration.
+    fn found() -> Core {
+        static NTH: AtomicU8 = AtomicU8::new(1);
+        let (id, nth) = (std::process::id(), NTH.fetch_add(1, Ordering::Relaxed));
+        let ips = [1, 2, 3].map(|i| Ipv4Addr::new(127, 64 + (id >> 8) as u8 % 128, id as u8, 8 * nth + i));
+        let (platform, asked) = platform();
+        let dir = std::env::temp_dir().join(format!("lupinledge-hive-{id}-{nth}"));
+        let (control, peers) = (0, 0);
+        let mut core = Core { ips, control, peers, platform, asked, dir, running: Default::default() };
+        until("all three listen", || {
+            (core.control, core.peers) = (free(&ips), free(&ips));
+            let _ = std::fs::remove_dir_all(&core.dir);
+            (0..3).for_each(|i| core.start(i, true));
+            // a port was taken meanwhile: others
+            (core.control != core.peers && (0..3).all(|i| core.listens(i))).then_some(())
+        });
+        assert_eq!(core.settled(0, "PUT", CONFIG, &config::numbered(7, 0)).0, 200);
+        core
+    }
+
+    fn at(&self, i: usize) -> SocketAddr {
+        (self.ips[i], self.control).into()
+    }
+
+    fn start(&mut self, i: usize, bootstrap: bool) {
+        self.kill(i);
+        let data = self.dir.join(format!("data-{i}"));
+        std::fs::create_dir_all(&data).unwrap();
+        let seeds: Vec<String> = (0..3).map(|i| self.at(i).to_string()).collect();
+        let settings = json!({
+            "ip": self.ips[i], "zone": "harju-kadaka", "region": "harju", "zones": config::zones(),
+            "listen": {"control": self.at(i), "directory": self.at(i)}, "port_range": [self.peers, self.peers],
+            "seeds": seeds, "bootstrap": bootstrap, "data_dir": data,
+            "cloud_api": {"address": self.platform, "rate_per_s": 39.0},
+        });
+        let file = self.dir.join(format!("settings-{i}.json"));
+        std::fs::write(&file, settings.to_string()).unwrap();
+        let mut program = Command::new(env!("CARGO_BIN_EXE_lupinledge-hive"));
+        let log = std::fs::File::create(self.log(i)).unwrap();
+        program.env("LUPINLEDGE_NODE_FILE", file).stdin(Stdio::null()).stderr(log);
+        self.running[i] = Some(program.spawn().unwrap());
+    }
+
+    fn log(&self, i: usize) -> PathBuf {
+        self.dir.join(format!("log-{i}"))
+    }
+
+    fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.running[i].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether the process takes connections; it may have to be waited for.
+    fn listens(&mut self, i: usize) -> bool {
+        let at = self.at(i);
+        until("it listens or ended", || {
+            let up = Client::to(at).is_ok();
+            (up || !self.runs(i)).then_some(up)
+        })
+    }
+
+    fn runs(&mut self, i: usize) -> bool {
+        self.running[i].as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(None)))
+    }
+
+    /// One call, without following: status, body and where to go; `None` where no answer comes in time.
+    fn call(&self, at: SocketAddr, method: &str, path: &str, body: &[u8]) -> Option<(u16, Vec<u8>, String)> {
+        let head = format!("{method} {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", body.len());
+        let mut client = Client::within(at, Duration::from_millis(1200)).ok()?;
+        let answer = client.ask(&[head.as_bytes(), body].concat()).ok()??;
+        let to = answer.header("location").unwrap_or_default().to_string();
+        Some((answer.status(), answer.body, to))
+    }
+
+    /// Calls until some one speaks for the whole, following where one is sent to; also tells who that was.
+    fn settled(&self, first: usize, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>, usize) {
+        until("a settled answer", || {
+            let mut at = self.at(first);
+            for _ in 0..3 {
+                let (status, text, to) = self.call(at, method, path, body)?;
+                match status {
+                    307 => at = to.strip_prefix("http://")?.strip_suffix(path)?.parse().ok()?,
+                    503 => return None,
+                    _ => return Some((status, text, (0..3).find(|i| self.at(*i) == at)?)),
+                }
+            }
+            None
+        })
+    }
+
+    fn put(&self, first: usize, body: &[u8]) -> u16 {
+        self.settled(first, "PUT", CONFIG, body).0
+    }
+
+    /// Who holds the duty, as its answers tell.
+    fn holder(&self, first: usize) -> usize {
+        self.settled(first, "GET", CONFIG, b"").2
+    }
+}
+
+#[test]
+fn an_operator_is_answered() {
+    let mut core = Core::found();
+    let (seven, eight) = (config::numbered(7, 0), config::numbered(8, 7));
+    (0..3)
+        .for_each(|i| assert_eq!(core.settled(i, "GET", CONFIG, b""), (200, seven.clone(), core.holder(0))));
+    assert_eq!((core.put(1, &seven), core.put(2, &eight), core.put(0, &eight)), (200, 200, 200));
+    assert_eq!(core.put(1, &config::numbered(9, 7)), 412, "built on what is not there any more");
+    assert_eq!(core.settled(2, "GET", CONFIG, b"").1, eight);
+    // what is wrong with it is told, and changes nothing
+    let broken = |change: fn(&mut serde_json::Value)| {
+        let mut v: serde_json::Value = serde_json::from_slice(&config::numbered(9, 8)).unwrap();
+        change(&mut v);
+        config::bytes(&v)
+    };
+    let nowhere = broken(|v| v["listeners"][1]["rules"][0]["action"]["service"] = json!("none"));
+    let negative = broken(|v| v["tenants"][0]["rate_per_s"] = json!(-1));
+    for body in [b"{".to_vec(), b"{}".to_vec(), nowhere, negative, eight[..eight.len() / 2].to_vec()] {
+        assert_eq!(core.put(0, &body), 400);
+    }
+    let zone = |method, name: &str| core.settled(1, method, &format!("/lupinledge/evacuation/{name}"), b"").0;
+    assert_eq!((zone("POST", "nowhere"), zone("POST", "tartu-ropka"), zone("PUT", "x")), (404, 200, 405));
+    assert_eq!(core.settled(1, "GET", CONFIG, b"").1, eight);
+    until("the list is read", || (core.asked.load(Ordering::Relaxed) > 0).then_some(()));
+
+    // bytes of nobody's protocol, to the operator's side and to the one for own processes
+    let long = [b"GET /", &[b'a'; 34_000][..], b" HTTP/1.1\r\n\r\n"].concat();
+    let huge = format!("PUT {CONFIG} HTTP/1.1\r\nHost: h\r\nContent-Length: 99999999999\r\n\r\n");
+    let odd: [&[u8]; 5] =
+        [b"\0\x01\xff\r\n\r\n", b"GET\r\n\r\n", b"GET / HTTP/9\r\nx\r\n\r\n", &long, huge.as_bytes()];
+    for (i, bytes) in (0..3).flat_map(|i| odd.map(|o| (i, o))) {
+        let mut client = Client::within(core.at(i), LONG).unwrap();
+        // the answer may come before all is written
+        let _ = client.write(bytes);
+        let answer = client.answer().unwrap().expect("an answer");
+        assert!((400..500).contains(&answer.status()), "{}", answer.start);
+    }
+    let stranger = Ipv4Addr::from(u32::from(core.ips[2]) + 1);
+    let udp = UdpSocket::bind((stranger, core.peers)).unwrap();
+    for i in 0..3 {
+        let at = (core.ips[i], core.peers);
+        for bytes in odd {
+            let _ = udp.send_to(bytes, at);
+            let _ = Client::to(at.into()).and_then(|mut c| c.write(bytes));
+        }
+    }
+    assert_eq!(core.settled(0, "GET", CONFIG, b"").1, eight);
+    assert!((0..3).all(|i| core.runs(i)));
+}
+
+#[test]
+fn what_was_acknowledged_outlives_losses() {
+    let mut core = Core::found();
+    let (seven, eight) = (config::numbered(7, 0), config::numbered(8, 7));
+    // alone, also the holder speaks for nobody
+    let holder = core.holder(0);
+    let others = [(holder + 1) % 3, (holder + 2) % 3];
+    others.iter().for_each(|i| core.kill(*i));
+    let began = Instant::now();
+    while began.elapsed() < Duration::from_millis(1500) {
+        let calls = [("GET", &b""[..]), ("PUT", &eight), ("PUT", &seven), ("PUT", &config::numbered(9, 0))];
+        for (method, body) in calls {
+            let answer = core.call(core.at(holder), method, CONFIG, body).map(|a| a.0);
+            assert!(matches!(answer, None | Some(503)), "{method}: {answer:?}");
+        }
+    }
+    core.kill(holder);
+    (0..3).for_each(|i| core.start(i, false));
+    // what was sent meanwhile may have come into force
+    let now = core.settled(0, "GET", CONFIG, b"").1;
+    assert!(now == seven || now == eight);
+    assert_eq!(core.put(1, &eight), 200);
+
+    // one whose disk is lost learns, and then counts again
+    let holder = core.holder(0);
+    let (wiped, third) = ((holder + 1) % 3, (holder + 2) % 3);
+    core.kill(wiped);
+    std::fs::remove_dir_all(core.dir.join(format!("data-{wiped}"))).unwrap();
+    assert_eq!(core.put(holder, &config::numbered(9, 8)), 200);
+    core.start(wiped, false);
+    let counts = |log: &String| log.contains("event=member counts=true");
+    until("it has learnt", || std::fs::read_to_string(core.log(wiped)).ok().filter(counts));
+    core.kill(third);
+    assert_eq!(core.put(wiped, &config::numbered(10, 9)), 200);
+    assert_eq!(core.settled(wiped, "GET", CONFIG, b"").1, config::numbered(10, 9));
+    // the wiped one alone has it with the holder: it must be on its disk
+    core.kill(holder);
+    core.start(third, false);
+    assert_eq!(core.settled(third, "GET", CONFIG, b"").1, config::numbered(10, 9));
+}
