Settings read anew: seeds and bounds at the forager, the platform's address at the hive

Cause: the forager read its settings at SIGHUP or a change and did nothing with them; the hive went on asking the platform at the address and rate of its start.

Change: both give the new seeds to membership. The forager's pools take the new bounds into their terms at once (ratio and slack of further tries, excess and slack of warm-ups), the end goes by the new grace; it listens for SIGHUP from the start on, since other seeds may be what it takes to get ready. The hive's reader of the list moves to the new address and reads at once. Sockets, zones of the forager, memory and descriptors stay as at the start. `watch` lets the host refuse settings (a hive's without `cloud_api`): logged with the field, nothing changes.

A raised slack grants no tries at once: the decisions' store of them fills by the ratio from where it is, which keeps the sum over a window within the larger bound.

--- a/dance/src/lib.rs
+++ b/dance/src/lib.rs
@@ -71,7 +71,7 @@
             me,
             unix.as_millis() as u64,
             card,
-            seeds_of(settings).into_iter().filter(|s| *s != me).collect(),
+            seeds_of(settings),
             unix.as_nanos() as u64 ^ u64::from(me) << 32,
         );
         swarm.packet_most = 1100;
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Goes by other settings from here on: by their seeds. Sockets stay, and so does what is told of this process.
+    pub fn retell(&self, settings: &Settings) {
+        self.spread.borrow_mut().set_seeds(seeds_of(settings));
+    }
+
     /// Largest number of edge nodes that were there at once over the last so many seconds.
     pub fn edges(&self, span: f64) -> usize {
         self.with(|s| s.most_edges(self.now(), span))
--- a/dance/src/settings.rs
+++ b/dance/src/settings.rs
@@ -26,8 +26,9 @@
     std::fs::metadata(path).and_then(|m| m.modified()).ok()
 }
 
-/// Takes the file anew whenever it changes, as long as the process runs.
-pub async fn watch(path: PathBuf, mut hangup: Signal, take: impl Fn(Settings)) {
+/// Takes the file anew whenever it changes, as long as the process runs. One that can't be read, or that `take`
+/// refuses, changes nothing and is logged with the field at fault.
+pub async fn watch(path: PathBuf, mut hangup: Signal, take: impl Fn(Settings) -> eyre::Result<()>) {
     let mut last = changed_at(&path);
     loop {
         let asked = timeout(LOOK, hangup.recv()).await.is_ok();
@@ -36,11 +37,8 @@
             continue;
         }
         last = at;
-        match read(&path) {
-            Ok(settings) => {
-                tracing::info!(event = "settings_read", seeds = settings.seeds.len());
-                take(settings);
-            }
+        match read(&path).and_then(&take) {
+            Ok(()) => tracing::info!(event = "settings_taken"),
             // whatever is wrong with the new file, the old one has served until now
             Err(e) => tracing::error!(event = "settings_refused", fault = %format!("{e:#}")),
         }
--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -27,7 +27,7 @@
 
 /// Before the clock is known there are no pools; news wait for them in the dance.
 pub struct Nest {
-    settings: Rc<Settings>,
+    settings: RefCell<Rc<Settings>>,
     dance: Rc<Dance>,
     ledger: Rc<Ledger>,
     pools: RefCell<Option<Rc<Pools>>>,
@@ -42,7 +42,7 @@
     pub fn new(settings: Rc<Settings>, dance: Rc<Dance>, ledger: Rc<Ledger>) -> Rc<Nest> {
         let (pools, estimate) = (RefCell::default(), RefCell::default());
         let nest = Rc::new(Nest {
-            settings,
+            settings: RefCell::new(settings),
             dance,
             ledger,
             pools,
@@ -56,6 +56,22 @@
         nest
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Rc<Settings> {
+        self.settings.borrow().clone()
+    }
+
+    /// Goes by other settings from here on: by their seeds and bounds. Sockets, zones, and what the process may use
+    /// stay as at the start.
+    pub fn retell(&self, settings: Settings) {
+        self.dance.retell(&settings);
+        let zones = self.settings().zones.clone();
+        let settings = Rc::new(Settings { zones, ..settings });
+        *self.settings.borrow_mut() = settings.clone();
+        let pools = self.pools.borrow().clone();
+        pools.into_iter().for_each(|p| p.retell(settings.clone()));
+    }
+
     /// Asks for the hive's clock until it is known; after `most`, the own one has to do. The holder alone answers,
     /// and who that is may be settled at any moment: all that may be it are asked.
     pub async fn clock(&self, most: Duration) -> lupinledge_comb::clock::Clock {
@@ -79,7 +95,7 @@
     }
 
     fn ask(&self, holder: Node) {
-        let mut hives = seeds_of(&self.settings);
+        let mut hives = seeds_of(&self.settings());
         hives.push(holder);
         let there = |m: &&Member| m.card.core && m.standing == Standing::Alive && m.heard.is_finite();
         let there: Vec<Node> = self.dance.with(|s| s.members().filter(there).map(|m| m.node).collect());
@@ -128,7 +144,7 @@
         let pools = self.pools.borrow().clone();
         let Some(pools) = pools else { return };
         let tables = decode::<Document>(bytes).map_err(|e| e.to_string()).and_then(|d| {
-            let tables = Tables::new(&d, &self.settings.zones).map_err(|e| e.to_string())?;
+            let tables = Tables::new(&d, &self.settings().zones).map_err(|e| e.to_string())?;
             Ok((d.serial, tables))
         });
         match tables {
--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -55,7 +55,7 @@
 
 /// See the module.
 pub struct Pools {
-    settings: Rc<Settings>,
+    settings: RefCell<Rc<Settings>>,
     world: World,
     pub clock: Clock,
     pub counters: Rc<Counters>,
@@ -74,6 +74,7 @@
     ) -> Rc<Pools> {
         let world = World::new(&settings, seed);
         let (counters, wanted) = (Rc::default(), RefCell::new(Wanted { gateways: 1, ..Wanted::default() }));
+        let settings = RefCell::new(settings);
         Rc::new(Pools { settings, world, clock, counters, ledger, places, wanted })
     }
 
@@ -143,6 +144,12 @@
         self.deal();
     }
 
+    /// Goes by the bounds of other settings from here on.
+    pub fn retell(&self, settings: Rc<Settings>) {
+        *self.settings.borrow_mut() = settings;
+        self.settle();
+    }
+
     /// Another number of gateways, if it differs.
     pub fn among(&self, gateways: usize) {
         if std::mem::replace(&mut self.wanted.borrow_mut().gateways, gateways) != gateways {
@@ -194,7 +201,7 @@
     fn settle(&self) {
         let w = &mut *self.wanted.borrow_mut();
         for (nth, s) in w.tables.services().iter().enumerate() {
-            let terms = terms(&self.settings, &self.world, (nth, s), w.gateways, &w.lines);
+            let terms = terms(&self.settings.borrow(), &self.world, (nth, s), w.gateways, &w.lines);
             match w.pools.get(&s.name) {
                 Some(p) => p.exchange.change(terms),
                 None => drop(w.pools.insert(s.name.clone(), self.open(terms))),
--- a/forager/src/start.rs
+++ b/forager/src/start.rs
@@ -98,13 +98,19 @@
     let ledger = Ledger::start(dance.post().clone(), (seed / 1000) as u16 ^ (seed >> 32) as u16);
     let nest = Nest::new(told.clone(), dance.clone(), ledger.clone());
     tokio::task::spawn_local(dance.clone().run());
+    let follows = nest.clone();
+    // from the start on: other seeds may be what it takes to get ready
+    tokio::task::spawn_local(settings::watch(path, hangup, move |s| {
+        follows.retell(s);
+        Ok(())
+    }));
     let gate = open("front", told.listen.front, &client_places)?;
     let soon = nest.clone();
     let early = Early(move || soon.soon());
     let early = Clients::start(Rc::new(early), counters, bounds(3.0, 15.0, 16 << 10));
     let rising = async {
         let clock = nest.clock(CLOCK_WAIT).await;
-        let pools = Pools::new(told.clone(), clock, ledger, server_places, seed);
+        let pools = Pools::new(nest.settings(), clock, ledger, server_places, seed);
         nest.open(pools.clone());
         tokio::task::spawn_local(nest.clone().upkeep());
         tracing::info!(event = "started", node = %told.ip, zone = %told.zone);
@@ -132,8 +138,7 @@
     dance.set_card(|card| card.ready = true);
     tracing::info!(event = "ready", version = pools.tables().version());
 
-    tokio::task::spawn_local(settings::watch(path, hangup, |_| {}));
-    let (c, p) = (clients.clone(), pools.clone());
+    let (c, p, woken) = (clients.clone(), pools.clone(), nest.clone());
     tokio::task::spawn_local(async move {
         let mut limits = None;
         loop {
@@ -141,7 +146,7 @@
             if limits.replace(now) != Some(now) {
                 c.bound(bounds(now.header_timeout, now.idle_timeout, now.max_header_bytes));
             }
-            nest.woken.notified().await;
+            woken.woken.notified().await;
         }
     });
 
@@ -151,7 +156,7 @@
         _ = int.recv() => {}
     }
     let began = Instant::now();
-    let grace = told.bounds.grace_s;
+    let grace = nest.settings().bounds.grace_s;
     tracing::info!(event = "ending", unanswered = pools.unanswered());
     ready.set(false);
     dance.set_card(|card| (card.ready, card.leaving) = (false, true));
--- a/forager/tests/rules/fleet.rs
+++ b/forager/tests/rules/fleet.rs
@@ -105,6 +105,7 @@
     pub front: SocketAddr,
     ready: SocketAddr,
     path: std::path::PathBuf,
+    settings: Value,
     log: Arc<Mutex<String>>,
     mark: Srv,
     lists: AtomicU64,
@@ -131,7 +132,8 @@
         let told = Settings::parse(settings(hive).to_string().as_bytes()).expect("the hive's settings");
         let hive = Hive::start(told);
         let path = std::env::temp_dir().join(format!("lupinledge-forager-{own}.json"));
-        std::fs::write(&path, settings(own).to_string()).expect("a settings file");
+        let settings = settings(own);
+        std::fs::write(&path, settings.to_string()).expect("a settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_lupinledge-forager"))
             .env("LUPINLEDGE_NODE_FILE", &path)
             .stderr(Stdio::piped())
@@ -146,7 +148,7 @@
         });
         let (front, ready) = ((own, front).into(), (own, ready).into());
         let (mark, lists) = (Srv::start("mark", "mead-2", GOOD), AtomicU64::new(0));
-        let fleet = Fleet { child, hive, ip: own, front, ready, path, log, mark, lists };
+        let fleet = Fleet { child, hive, ip: own, front, ready, path, settings, log, mark, lists };
         fleet.follow(document(1, config, &[]));
         fleet.list(rows);
         until("it says that it is ready", || fleet.readiness() == Some(200));
@@ -160,6 +162,16 @@
         until(&line, || self.log.lock().unwrap().contains(&line));
     }
 
+    /// Other bounds in the settings file and SIGHUP; waits until the log says this of it.
+    pub fn bounds(&self, bounds: Value, says: &str) {
+        let (mut settings, file) = (self.settings.clone(), self.path.with_extension("new"));
+        settings["bounds"] = bounds;
+        std::fs::write(&file, settings.to_string()).expect("a settings file");
+        std::fs::rename(&file, &self.path).expect("its place");
+        self.signal("HUP");
+        until(says, || self.log.lock().unwrap().contains(says));
+    }
+
     /// Tells a list, and waits until it is in force: a server of its own kind is known by its number.
     pub fn list(&self, mut rows: Vec<Row>) {
         let number = self.lists.fetch_add(1, Ordering::SeqCst) + 1;
--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -163,6 +163,14 @@
     assert_eq!(f.statuses(30, "GET /read/x", "key"), [429; 30]);
     let sent = one.got().len() + two.got().len();
     assert!((31..=30 + 3 + 5).contains(&sent), "{sent} sends of 30 requests");
+    // settings that can't be used change nothing, others do at once
+    f.bounds(json!({"retry_ratio": 2, "retry_slack": -1}), "bounds.retry_slack");
+    assert_eq!(f.statuses(10, "GET /read/x", "key"), [429; 10]);
+    let refused = one.got().len() + two.got().len() - sent;
+    assert!(refused <= 10 + 1 + 5, "{refused} sends of 10 requests");
+    f.bounds(json!({"retry_ratio": 2, "retry_slack": 10}), "event=settings_taken");
+    assert_eq!(f.statuses(10, "GET /read/x", "key"), [429; 10]);
+    assert_eq!(one.got().len() + two.got().len() - sent - refused, 20, "each is tried twice");
 }
 
 /// DRAIN: a server that is about to leave, or has left, gets nothing new. EVAC: nor does one in an evacuated zone.
--- a/hive/src/brood.rs
+++ b/hive/src/brood.rs
@@ -37,6 +37,8 @@
     pub renewed: Notify,
     /// Read at once.
     again: Notify,
+    /// Where the platform is, and how many calls a second it takes.
+    platform: Cell<(SocketAddr, f64)>,
     pub unreadable: Cell<u64>,
 }
 
@@ -48,9 +50,10 @@
             read_at: Cell::new(Instant::now()),
             renewed: Notify::new(),
             again: Notify::new(),
+            platform: Cell::new((address, rate_per_s)),
             unreadable: Cell::new(0),
         });
-        tokio::task::spawn_local(brood.clone().run(Platform::new(address), rate_per_s));
+        tokio::task::spawn_local(brood.clone().run(Platform::new(address)));
         brood
     }
 
@@ -73,15 +76,26 @@
         }
     }
 
-    async fn run(self: Rc<Brood>, mut platform: Platform, rate_per_s: f64) {
-        // half of what is allowed: a former holder may still be at it
-        let each_page = 2.0 / rate_per_s.max(0.1);
+    /// The platform is there from here on, and takes so many calls a second.
+    pub fn retell(&self, address: SocketAddr, rate_per_s: f64) {
+        if self.platform.replace((address, rate_per_s)).0 != address {
+            self.again.notify_one();
+        }
+    }
+
+    async fn run(self: Rc<Brood>, mut platform: Platform) {
         let (mut pause, mut fine) = (PAUSE_LEAST, true);
         loop {
             if self.agree.leads().is_none() {
                 self.agree.changed().await;
                 continue;
             }
+            let (address, rate_per_s) = self.platform.get();
+            if platform.address != address {
+                platform = Platform::new(address);
+            }
+            // half of what is allowed: a former holder may still be at it
+            let each_page = 2.0 / rate_per_s.max(0.1);
             let begun = Instant::now();
             let read = self.read(&mut platform, each_page).await;
             let wait = match read {
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -8,6 +8,7 @@
 use crate::store::{Opened, Store};
 use eyre::{eyre, WrapErr};
 use lupinledge_dance::{seeds_of, Dance, Host, News, Source};
+use lupinledge_propolis::settings::CloudApi;
 use lupinledge_propolis::Settings;
 use lupinledge_queen::{Node, Stamp};
 use lupinledge_waggle::Card;
@@ -40,12 +41,16 @@
     counts: Rc<Counts>,
 }
 
+fn platform_of(settings: &Settings) -> eyre::Result<CloudApi> {
+    settings.cloud_api.clone().ok_or_else(|| eyre!("`cloud_api`: missing"))
+}
+
 impl Hive {
     /// Reads the disk, and starts all parts.
     pub async fn start(settings: Settings) -> eyre::Result<Rc<Hive>> {
         let clock = Rc::new(Clock::start(settings.node()));
         let folder = settings.data_dir.clone().ok_or_else(|| eyre!("`data_dir`: the core needs a disk"))?;
-        let platform = settings.cloud_api.clone().ok_or_else(|| eyre!("`cloud_api`: missing"))?;
+        let platform = platform_of(&settings)?;
         let Opened { store, found, ends } = Store::open(folder)?;
         let kept = found.await.wrap_err("`data_dir`")?;
         let empty = kept.is_none();
@@ -145,9 +150,14 @@
     }
 
     /// Goes by other settings from here on. Sockets stay: addresses do not change while a process runs.
-    pub fn retell(&self, settings: Settings) {
+    pub fn retell(&self, settings: Settings) -> eyre::Result<()> {
+        let platform = platform_of(&settings)?;
+        self.brood.retell(platform.address, platform.rate_per_s);
+        self.dance.retell(&settings);
         self.agree.hint(&seeds_of(&settings));
-        *self.settings.borrow_mut() = Rc::new(settings);
+        let listen = self.settings.borrow().listen.clone();
+        *self.settings.borrow_mut() = Rc::new(Settings { listen, ..settings });
+        Ok(())
     }
 
     /// Where clients of a region may go.
--- a/hive/src/platform.rs
+++ b/hive/src/platform.rs
@@ -38,7 +38,7 @@
 }
 
 pub struct Platform {
-    address: SocketAddr,
+    pub address: SocketAddr,
     link: Option<SendRequest<Empty<Bytes>>>,
 }
 
--- a/hive/tests/core.rs
+++ b/hive/tests/core.rs
@@ -111,21 +111,35 @@
 
     fn start(&mut self, i: usize, bootstrap: bool) {
         self.kill(i);
+        std::fs::create_dir_all(self.dir.join(format!("data-{i}"))).unwrap();
+        let log = std::fs::File::create(self.log(i)).unwrap();
+        let mut program = Command::new(env!("CARGO_BIN_EXE_lupinledge-hive"));
+        program.env("LUPINLEDGE_NODE_FILE", self.settings(i, bootstrap, 39.0));
+        self.running[i] = Some(program.stdin(Stdio::null()).stderr(log).spawn().unwrap());
+    }
+
+    /// Writes the settings file of one.
+    fn settings(&self, i: usize, bootstrap: bool, rate: f64) -> PathBuf {
         let data = self.dir.join(format!("data-{i}"));
-        std::fs::create_dir_all(&data).unwrap();
         let seeds: Vec<String> = (0..3).map(|i| self.at(i).to_string()).collect();
         let settings = json!({
             "ip": self.ips[i], "zone": "harju-kadaka", "region": "harju", "zones": config::zones(),
             "listen": {"control": self.at(i), "directory": self.at(i)}, "port_range": [self.peers, self.peers],
             "seeds": seeds, "bootstrap": bootstrap, "data_dir": data,
-            "cloud_api": {"address": self.platform, "rate_per_s": 39.0},
+            "cloud_api": {"address": self.platform, "rate_per_s": rate},
         });
         let file = self.dir.join(format!("settings-{i}.json"));
-        std::fs::write(&file, settings.to_string()).unwrap();
-        let mut program = Command::new(env!("CARGO_BIN_EXE_lupinledge-hive"));
-        let log = std::fs::File::create(self.log(i)).unwrap();
-        program.env("LUPINLEDGE_NODE_FILE", file).stdin(Stdio::null()).stderr(log);
-        self.running[i] = Some(program.spawn().unwrap());
+        std::fs::write(file.with_extension("new"), settings.to_string()).unwrap();
+        std::fs::rename(file.with_extension("new"), &file).unwrap();
+        file
+    }
+
+    /// Has one reread its settings, which are with this platform from here on, and waits for what the log says of it.
+    fn retell(&self, i: usize, rate: f64, says: &str) {
+        self.settings(i, false, rate);
+        let pid = self.running[i].as_ref().unwrap().id();
+        assert!(Command::new("sh").arg("-c").arg(format!("kill -HUP {pid}")).status().unwrap().success());
+        until(says, || std::fs::read_to_string(self.log(i)).ok().filter(|log| log.contains(says)));
     }
 
     fn log(&self, i: usize) -> PathBuf {
@@ -235,6 +249,16 @@
     }
     assert_eq!(core.settled(0, "GET", CONFIG, b"").1, eight);
     assert!((0..3).all(|i| core.runs(i)));
+
+    // the platform is elsewhere from here on; a file that can't be used changes nothing
+    let old = std::mem::take(&mut core.asked);
+    (core.platform, core.asked) = platform();
+    (0..3).for_each(|i| core.retell(i, 0.0, "cloud_api.rate_per_s"));
+    let before = old.load(Ordering::Relaxed);
+    until("the old one is asked", || (old.load(Ordering::Relaxed) > before).then_some(()));
+    assert_eq!(core.asked.load(Ordering::Relaxed), 0);
+    (0..3).for_each(|i| core.retell(i, 39.0, "event=settings_taken"));
+    until("the new one is asked", || (core.asked.load(Ordering::Relaxed) > 0).then_some(()));
 }
 
 #[test]
--- a/waggle/src/spread.rs
+++ b/waggle/src/spread.rs
@@ -95,6 +95,11 @@
         differs
     }
 
+    /// Whom to ask from now on while they are not known to be there.
+    pub fn set_seeds(&mut self, seeds: Vec<Node>) {
+        self.swarm.set_seeds(seeds);
+    }
+
     /// Does what is due.
     pub fn tick(&mut self, now: f64) -> Sends {
         let mut out = probes(self.swarm.tick(now));
--- a/waggle/src/swarm.rs
+++ b/waggle/src/swarm.rs
@@ -39,6 +39,12 @@
         let (period, ack, suspicion, forget, packet_most) = (0.4, 0.25, 1.2, 60.0, 1100);
         Settings { me, life, card, seeds, period, ack, suspicion, forget, seed, packet_most }
     }
+
+    fn tidy(&mut self) {
+        self.seeds.retain(|s| *s != self.me && *s != 0);
+        self.seeds.sort_unstable();
+        self.seeds.dedup();
+    }
 }
 
 /// One process's view of all others.
@@ -68,9 +74,7 @@
     pub fn new(now: f64, settings: Settings) -> Swarm {
         let mut chance = fastrand::Rng::with_seed(settings.seed ^ (u64::from(settings.me) << 24));
         let mut set = settings;
-        set.seeds.retain(|s| *s != set.me && *s != 0);
-        set.seeds.sort_unstable();
-        set.seeds.dedup();
+        set.tidy();
         set.period = set.period.max(0.01);
         let ways = Ways::new(now, chance.f64() * set.period, chance.u32(..));
         let mut swarm = Swarm {
@@ -103,6 +107,12 @@
         }
     }
 
+    /// Whom to ask from now on while they are not known to be there.
+    pub fn set_seeds(&mut self, seeds: Vec<Node>) {
+        self.set.seeds = seeds;
+        self.set.tidy();
+    }
+
     /// What this process holds from now on.
     pub fn set_digest(&mut self, digest: Digest) {
         if digest.newer(&self.digest) {
--- a/waggle/tests/news.rs
+++ b/waggle/tests/news.rs
@@ -2,7 +2,7 @@
 
 mod net;
 
-use lupinledge_waggle::{Digest, Member, Standing};
+use lupinledge_waggle::{Digest, Member, Settings, Standing, Swarm};
 use net::{card, index, node, Net};
 
 /// A calm network whose hosts pull what is newer; returns in how many seconds something new at one reached
@@ -112,3 +112,19 @@
     assert!(some.iter().all(|n| index(*n) >= 3 && index(*n) != 5));
     assert_eq!(swarm.few(100, edge).len(), 8);
 }
+
+/// Other seeds take the place of those before, and this process is none of them.
+#[test]
+fn other_seeds_are_asked() {
+    let (me, one, two) = (node(0), node(1), node(2));
+    let settings = Settings::new(me, 1, card(0, 1), vec![one], 7);
+    let mut swarm = Swarm::new(0.0, settings);
+    let asked = |swarm: &mut Swarm, from: u32| {
+        let out = (from * 20..(from + 5) * 20).flat_map(|t| swarm.tick(f64::from(t) / 20.0));
+        out.map(|(to, _)| to).collect::<std::collections::BTreeSet<_>>()
+    };
+    assert_eq!(asked(&mut swarm, 0), [one].into());
+    swarm.set_seeds(vec![two, me]);
+    asked(&mut swarm, 5); // a question that is under way is asked to its end
+    assert_eq!(asked(&mut swarm, 10), [two].into());
+}
