Test: the design's order on the ordinary path, by a plain model of the counter

Cause: that a req is charged before it is sent, and holds a lease from then to its outcome, is what the design stands on; scenarios show single cases only. Others' adds come by chance, so that totals deny too. Not seen by it: leases far below the cap that never come back without a call (scenario `held` sees that).

--- a/tests/play.rs
+++ b/tests/play.rs
@@ -9,6 +9,7 @@
 //! `known CUSTOMERS SRVS` (no event: so many of each are kept, whatever has come), `peer BYTE,BYTE..`, `passed`/`error`/`full`/`lost`/`reset` ID/NTH key=value .., `wait`.
 
 mod notation;
+mod ordinary;
 
 use lupinledge::control::Control;
 use lupinledge::link::*;
