Membership: the core hears at once who is ready or leaves; the directory logs when it has nobody to name

Cause: that a process had become ready went out with the probe of a period, to one other in 0.4 s, and reached the core by hearsay: after all were killed the directory named its first front up to 0.39 s after it was ready, then often only one or two, and a client keeps that answer for 2 s. Told apart from the start of the process by the new log line.

Change: when `ready` or `leaving` of the own card changes, each live member of the core gets a probe with it at once.

Test: the core knows within one way (it does not without the change).

--- a/hive/src/control.rs
+++ b/hive/src/control.rs
@@ -43,6 +43,8 @@
     opened: Cell<u64>,
     bodies: Semaphore,
     closing: Cell<bool>,
+    /// The directory had nobody to name when it was asked last.
+    nowhere: Cell<bool>,
 }
 
 struct Link {
@@ -76,6 +78,7 @@
             opened: Cell::new(0),
             bodies: Semaphore::new(BODIES_AT_ONCE),
             closing: Cell::new(false),
+            nowhere: Cell::new(true),
         });
         for gate in gates {
             tokio::task::spawn_local(control.clone().accept(gate));
@@ -198,6 +201,9 @@
             return refuse(Kind::Malformed, "query");
         };
         let fronts = self.hive.fronts(region.as_deref().unwrap_or_default());
+        if self.nowhere.replace(fronts.is_empty()) != fronts.is_empty() {
+            tracing::info!(event = "directory", fronts = fronts.len());
+        }
         if fronts.is_empty() {
             return later();
         }
--- a/waggle/src/probes.rs
+++ b/waggle/src/probes.rs
@@ -35,6 +35,18 @@
             self.ways.hastened = now + self.set.period;
             self.probe(now, &mut out);
         }
+        if std::mem::take(&mut self.ways.herald) {
+            let core: Vec<Node> = self
+                .table
+                .with(Standing::Alive)
+                .filter(|e| e.member.card.core)
+                .map(|e| e.member.node)
+                .collect();
+            for node in core {
+                let n = self.ways.number();
+                out.push(self.doubtful(now, node, Body::Ping { n }));
+            }
+        }
         if now >= self.ways.slow {
             self.slow(now, &mut out);
         }
@@ -46,7 +58,7 @@
     /// When there is something to do next, if nothing is heard until then.
     pub fn next_wake(&self) -> f64 {
         let ways = &self.ways;
-        let mut next = ways.next.min(ways.slow);
+        let mut next = if ways.herald { self.last } else { ways.next.min(ways.slow) };
         if ways.hasten {
             next = next.min(ways.hastened);
         }
--- a/waggle/src/swarm.rs
+++ b/waggle/src/swarm.rs
@@ -100,6 +100,7 @@
     pub fn set_card(&mut self, card: Card) {
         self.set.card.load = card.load;
         if self.set.card != card {
+            self.ways.herald |= (card.ready, card.leaving) != (self.set.card.ready, self.set.card.leaving);
             self.set.card = card;
             self.issue += 1;
             self.talk.put(self.last, self.set.me, self.repeats(), true);
--- a/waggle/src/ways.rs
+++ b/waggle/src/ways.rs
@@ -60,6 +60,8 @@
     pub relays: Vec<Relay>,
     /// News of this process's own: it is passed on before the next probe is due.
     pub hasten: bool,
+    /// This process is ready or leaves, or no more: the core, which tells clients where to go, hears it at once.
+    pub herald: bool,
     /// Whom to ask for members, and whether also for what is thought of known ones.
     pub lacking: Option<(Node, bool)>,
     pub last_n: u32,
@@ -91,6 +93,7 @@
             probes: Vec::new(),
             relays: Vec::new(),
             hasten: false,
+            herald: false,
             lacking: None,
             last_n: n,
             next: now + first,
--- a/waggle/tests/news.rs
+++ b/waggle/tests/news.rs
@@ -49,6 +49,21 @@
     }
 }
 
+/// Who tells clients where to go knows within one way whether a process may be named.
+#[test]
+fn the_core_hears_at_once_who_is_ready() {
+    let mut net = Net::new(24, 3, 0.0, 5);
+    net.run(106.0);
+    for ready in [false, true] {
+        net.set_card(9, lupinledge_waggle::Card { ready, ..card(9, 3) });
+        net.run(net.now + 0.065);
+        for proc in &net.procs[..3] {
+            let seen = proc.swarm.as_ref().and_then(|s| s.member(node(9))).map(|m| m.card.ready);
+            assert_eq!(seen, Some(ready));
+        }
+    }
+}
+
 #[test]
 fn cards_reach_all() {
     let mut net = Net::new(24, 3, 0.05, 3);
