Quota: a store first met may have been emptied just now

All edge nodes are stopped and started in turn while one tenant sends many times its usual. A pool that starts anew read the window's total as the use of 24 s in which the store filled, and so as a full store, however empty the others had just made it: each start let through a burst again. Fills from there at its rate.

--- a/forager/src/terms.rs
+++ b/forager/src/terms.rs
@@ -100,6 +100,8 @@
         // one, whose clumps are few, is read with some room, far within what the rule leaves
         burst: if t.rate > 0.0 { (0.8 * t.burst + 6.0).min(t.burst + 3.0) } else { 0.0 },
         price: 1.0 / (1.0 + f64::from(t.priority)),
+        // what is past the rule's slack costs the whole day
+        overrun_cost: 9.0,
         ..FREE
     }
 }
--- a/src/count.rs
+++ b/src/count.rs
@@ -70,12 +70,15 @@
         let fell = less && call.epoch == q.epoch;
         let anew = call.epoch > q.epoch || q.seen.is_none() || fell;
         let delta = if anew { total } else { total - q.total };
-        let since = if q.seen.is_none() { self.now.secs() % WINDOW } else { self.now.since(cust.level_at) };
+        let first = q.seen.is_none();
+        let since = if first { self.now.secs() % WINDOW } else { self.now.since(cust.level_at) };
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
         let all = cust.level + p.rate * since;
         let (least, most) = (all.min(p.burst) - delta, (all - delta + call.units).min(p.burst) - call.units);
-        // over more than the time in which the store fills, unsteady use evens out
-        let even = (-since * p.rate / p.burst.max(1e-3)).exp();
+        // over more than the time in which the store fills, unsteady use evens out; but a store first met may have
+        // been emptied just now
+        let even = if first { 1.0 } else { (-since * p.rate / p.burst.max(1e-3)).exp() };
+        let least = if first { least.max(0.0).min(most) } else { least };
         cust.level = most + (least - most) * even * p.overrun_cost / (1.0 + p.overrun_cost);
         // an empty counter knows nothing of what went out while none answered: the own reckoning goes on
         cust.level = cust.level.min(if fell { own - call.amount } else { f64::MAX });
