Nectar: what the duty holder does with its counters, out of the hive's counts.rs

Whom a new holder asks, how long it waits, and which calls wait for the totals were decided between the hive's sockets, where the model of the whole system could not play them. They move to nectar::duty as they are; the hive keeps the clock, the links, the quotas and the log line. A look at the counters while they are whole now gathers the edge nodes too (some tens, four times a second). Ruled out: the model with a copy.

--- /dev/null
+++ b/nectar/src/duty.rs
@@ -0,0 +1,136 @@
+//! What the duty holder does with its counters: those of the epoch that it holds, which gateways are asked for what
+//! they had told the holder before, and calls that wait until the totals are whole.
+
+use crate::told::Told;
+use crate::{Counters, Life, Node};
+
+/// A process that just started knows nobody: it waits so long for gateways to show, seconds.
+pub const SHOW: f64 = 0.3;
+/// One that is alive and does not tell is waited for no longer, seconds.
+pub const TELL: f64 = 0.6;
+/// Calls that wait for the totals.
+const WAITING_MOST: usize = 4096;
+
+/// A gateway, as the holder sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    pub node: Node,
+    /// Nothing is held against it.
+    pub alive: bool,
+    /// It said that it ends.
+    pub leaving: bool,
+    /// It is taken for ended.
+    pub gone: bool,
+}
+
+/// A call that waited, and the totals that it is answered with.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub from: Life,
+    pub tag: u64,
+    pub totals: Vec<f64>,
+}
+
+/// What is to be done after a look at the counters.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Look {
+    /// Nothing: totals are answered.
+    Whole,
+    /// These are to be asked what they had told; look again soon.
+    Ask(Vec<Node>),
+    /// The totals are whole from now on: these waited, and so many gateways did not tell.
+    Closed(Vec<Answer>, usize),
+}
+
+struct Held {
+    epoch: u64,
+    since: f64,
+    counters: Counters,
+    waiting: Vec<(Life, u64, Vec<u64>)>,
+}
+
+/// See the module. Only to be called with an epoch while it is held.
+#[derive(Default)]
+pub struct Duty {
+    /// Those of the epoch that was held last.
+    held: Option<Held>,
+}
+
+impl Duty {
+    /// Turns to an epoch; returns whether its counters are new.
+    pub fn hold(&mut self, now: f64, epoch: u64) -> bool {
+        let new = self.held.as_ref().is_none_or(|held| held.epoch != epoch);
+        if new {
+            let (counters, waiting) = (Counters::new(epoch), Vec::new());
+            self.held = Some(Held { epoch, since: now, counters, waiting });
+        }
+        new
+    }
+
+    /// The counters of the epoch that was held last.
+    pub fn counters(&mut self) -> Option<&mut Counters> {
+        self.held.as_mut().map(|held| &mut held.counters)
+    }
+
+    /// To be called some times a second, and more often while it asks for something.
+    pub fn look(&mut self, now: f64, gateways: &[Seen]) -> Look {
+        let Some(Held { since, counters, waiting, .. }) = &mut self.held else {
+            return Look::Whole;
+        };
+        counters.tick(now);
+        // one that is gone without a word may go on out of sight
+        gateways.iter().filter(|g| g.leaving && g.gone).for_each(|g| counters.forget(g.node));
+        let untold = || gateways.iter().filter(|g| !counters.told(g.node));
+        let edges: Vec<Node> = untold().filter(|g| !g.leaving).map(|g| g.node).collect();
+        let asked: Vec<Node> = untold().filter(|g| g.alive).map(|g| g.node).collect();
+        if counters.whole() {
+            return Look::Whole;
+        }
+        let known = counters.any_told() || !asked.is_empty();
+        let spent = now - *since;
+        if spent < TELL && (!asked.is_empty() || !known && spent < SHOW) {
+            return Look::Ask(asked);
+        }
+        counters.close(now, &edges);
+        let answers = std::mem::take(waiting).into_iter().map(|(from, tag, names)| {
+            let totals = names.into_iter().map(|name| counters.total(name)).collect();
+            Answer { from, tag, totals }
+        });
+        Look::Closed(answers.collect(), edges.len())
+    }
+
+    /// What a gateway told the holder before this one.
+    pub fn tell(&mut self, now: f64, from: Life, told: &[Told]) {
+        if let Some(held) = &mut self.held {
+            held.counters.tell(now, from, told);
+        }
+    }
+
+    /// Takes the sums of a call: name, sum, seconds that the name is kept. Returns the totals if they are whole; else
+    /// the call waits.
+    pub fn count(
+        &mut self,
+        now: f64,
+        from: Life,
+        tag: u64,
+        calls: impl Iterator<Item = (u64, f64, f64)>,
+    ) -> Option<Vec<f64>> {
+        let held = self.held.as_mut()?;
+        let whole = held.counters.whole();
+        let (mut names, mut totals) = (Vec::new(), Vec::new());
+        for (name, sum, life) in calls {
+            let total = held.counters.put(now, from, name, sum, life);
+            match whole {
+                true => totals.push(total),
+                false => names.push(name),
+            }
+        }
+        if whole {
+            return Some(totals);
+        }
+        if held.waiting.len() < WAITING_MOST {
+            held.waiting.push((from, tag, names));
+        }
+        None
+    }
+}
