Counters: a gateway that has not told a new holder is asked until it has

Cause: a gateway tells a new holder, once, what it had told the one before, and is asked again only until the totals are whole (0.6 s). If that word is lost (the way to the holder is cut, the ways to others are not), what it had added stays counted as lost, and its next count adds its sum besides: twice, for as long as the name lives. The customer gets less than its quota.

Change: the holder goes on to ask those that are alive and have not told, four times a second, by a datagram. Then what was taken for lost is taken off, as for any that tells late.

--- a/hive/src/counts.rs
+++ b/hive/src/counts.rs
@@ -61,7 +61,7 @@
         let ask =
             |nodes: Vec<Node>| nodes.into_iter().for_each(|n| dance.post().cast(n, &Word::Hold { epoch }));
         match self.duty.borrow_mut().look(self.clock.now(), &gateways) {
-            Look::Whole => {}
+            Look::Whole(nodes) => ask(nodes),
             Look::Ask(nodes) => {
                 ask(nodes);
                 return false;
--- a/nectar/src/duty.rs
+++ b/nectar/src/duty.rs
@@ -34,8 +34,9 @@
 /// What is to be done after a look at the counters.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Look {
-    /// Nothing: totals are answered.
-    Whole,
+    /// Totals are answered. These have not told yet, though they are there: of what they count a part is counted as
+    /// lost too until they do.
+    Whole(Vec<Node>),
     /// These are to be asked what they had told; look again soon.
     Ask(Vec<Node>),
     /// The totals are whole from now on: these waited, and so many gateways did not tell.
@@ -75,7 +76,7 @@
     /// To be called some times a second, and more often while it asks for something.
     pub fn look(&mut self, now: f64, gateways: &[Seen]) -> Look {
         let Some(Held { since, counters, waiting, .. }) = &mut self.held else {
-            return Look::Whole;
+            return Look::Whole(Vec::new());
         };
         counters.tick(now);
         // one that is gone without a word may go on out of sight
@@ -84,7 +85,7 @@
         let edges: Vec<Node> = untold().filter(|g| !g.leaving).map(|g| g.node).collect();
         let asked: Vec<Node> = untold().filter(|g| g.alive).map(|g| g.node).collect();
         if counters.whole() {
-            return Look::Whole;
+            return Look::Whole(asked);
         }
         let known = counters.any_told() || !asked.is_empty();
         let spent = now - *since;
@@ -134,3 +135,34 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NAME: u64 = 1 << 24;
+
+    fn seen(node: Node, alive: bool) -> Seen {
+        Seen { node, alive, leaving: false, gone: false }
+    }
+
+    /// One that was out of reach as the counters became whole is asked when it is back, so that it is not counted
+    /// twice.
+    #[test]
+    fn who_has_not_told_is_asked_again() {
+        let mut duty = Duty::default();
+        duty.hold(1.0, 2);
+        assert_eq!(duty.look(1.0, &[seen(7, true), seen(8, false)]), Look::Ask(vec![7]));
+        let told = |sum, within, total| [Told { name: NAME, sum, within, total, life: 60.0 }];
+        duty.tell(1.1, (7, 1), &told(4.0, 4.0, 10.0));
+        assert_eq!(duty.count(1.1, (7, 1), 1, [(NAME, 4.0, 60.0)].into_iter()), None);
+        let answer = Answer { from: (7, 1), tag: 1, totals: vec![10.0] };
+        assert_eq!(duty.look(1.2, &[seen(7, true), seen(8, false)]), Look::Closed(vec![answer], 1));
+        let twice = duty.count(3.0, (8, 1), 1, [(NAME, 6.0, 60.0)].into_iter());
+        assert_eq!(twice, Some(vec![16.0]));
+        assert_eq!(duty.look(3.1, &[seen(7, true), seen(8, true)]), Look::Whole(vec![8]));
+        duty.tell(3.2, (8, 1), &told(6.0, 6.0, 10.0));
+        assert_eq!(duty.look(3.3, &[seen(7, true), seen(8, true)]), Look::Whole(vec![]));
+        assert_eq!(duty.count(3.3, (8, 1), 2, [(NAME, 6.0, 60.0)].into_iter()), Some(vec![10.0]));
+    }
+}
