--- a/hive/src/store.rs
+++ b/hive/src/store.rs
@@ -392,6 +392,25 @@
         }
     }
 
+    /// One that can't be trusted is no empty disk: who takes it for one might vote again on what it has forgotten.
+    #[test]
+    fn a_spoilt_snapshot_is_no_empty_disk() {
+        let folder = folder("spoilt");
+        disk(&folder).write(&state(1, 10)).unwrap();
+        let at = folder.join(SNAPSHOT);
+        let whole = fs::read(&at).unwrap();
+        for byte in 0..whole.len() {
+            let mut spoilt = whole.clone();
+            spoilt[byte] ^= 1;
+            fs::write(&at, &spoilt).unwrap();
+            assert!(read_all(&folder).is_err(), "byte {byte}");
+            fs::write(&at, &whole[..byte]).unwrap();
+            assert!(read_all(&folder).is_err(), "cut at {byte}");
+        }
+        fs::write(&at, &whole).unwrap();
+        assert_eq!(read_all(&folder).unwrap(), Some((1, state(1, 10))));
+    }
+
     #[test]
     fn a_save_that_failed_is_told_and_a_later_one_stands() {
         let folder = folder("refuses");
--- a/hive/tests/core.rs
+++ b/hive/tests/core.rs
@@ -301,3 +301,56 @@
     core.start(third, false);
     assert_eq!(core.settled(third, "GET", CONFIG, b"").1, config::numbered(10, 9));
 }
+
+/// Of two changes on top of the same version one is taken, wherever they come in.
+#[test]
+fn of_two_at_once_one_wins() {
+    let core = Core::found();
+    let mut base = 7;
+    for turn in 0..6 {
+        let put = |n: u64| (core.put((turn + n as usize) % 3, &config::numbered(base + n, base)), n);
+        let both = std::thread::scope(|t| {
+            let other = t.spawn(|| put(2));
+            [put(1), other.join().unwrap()]
+        });
+        let won: Vec<u64> = both.into_iter().filter(|b| b.0 == 200).map(|b| b.1).collect();
+        assert!(won.len() == 1 && both.iter().any(|b| b.0 == 412), "{both:?}");
+        let now = config::numbered(base + won[0], base);
+        assert_eq!(core.settled(turn % 3, "GET", CONFIG, b"").1, now);
+        base += won[0];
+    }
+}
+
+/// A holder that stood still while another one took its place says nothing old, however soon it is asked.
+#[test]
+fn a_thawed_holder_says_nothing_old() {
+    let core = Core::found();
+    let mut newest = config::numbered(7, 0);
+    for base in 7..9 {
+        let holder = core.holder(0);
+        let signal = |name: &str| {
+            let id = core.running[holder].as_ref().unwrap().id();
+            assert!(Command::new("kill").args([name, &id.to_string()]).status().unwrap().success());
+        };
+        signal("-STOP");
+        newest = config::numbered(base + 1, base);
+        assert_eq!(core.put((holder + 1) % 3, &newest), 200);
+        // these wait in its sockets, and are the first that it sees
+        let early = |method: &str, body: &[u8]| {
+            let mut client = Client::within(core.at(holder), LONG).unwrap();
+            let head =
+                format!("{method} {CONFIG} HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n", body.len());
+            client.write(&[head.as_bytes(), body].concat()).unwrap();
+            client
+        };
+        let rival = config::numbered(base + 2, base);
+        let calls = [early("GET", b""), early("PUT", &rival), early("PUT", &newest)];
+        signal("-CONT");
+        let [read, put, again] = calls.map(|mut c| c.answer().unwrap().expect("an answer"));
+        assert!(read.status() != 200 || read.body == newest, "{}", read.text());
+        assert!([307, 412, 503].contains(&put.status()), "{}", put.start);
+        assert!([200, 307, 503].contains(&again.status()), "{}", again.start);
+        assert_eq!(core.settled(holder, "GET", CONFIG, b"").1, newest);
+    }
+    assert_eq!(core.settled(0, "GET", CONFIG, b"").1, newest);
+}
