Test: the directory's choice, leases to the outcome, and a new holder that is told

Cause: all tests passed with the directory naming gateways that leave, with no leases in the system's terms, and with nothing told to a new holder of the counters (`Ledger::tell`). A unit test of `Directory::fronts`; the stand-in hive keeps leases apart from use and changes its epoch.

--- a/forager/tests/rules/hive.rs
+++ b/forager/tests/rules/hive.rs
@@ -9,7 +9,7 @@
 use lupinledge_wax::{encode, parts, units, Node, Word};
 use serde_bytes::ByteBuf;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -19,25 +19,36 @@
 enum Order {
     Document(u64, Document),
     Rows(u64, Vec<Row>),
+    /// The duty is held under this epoch from now on, by the same process.
+    Epoch(u64),
     /// Straight to a process, without keeping it.
     Say(Node, Stamp, Document),
 }
 
+/// What goes through the counters. Names of leases are odd, those of use are even.
+#[derive(Default)]
+pub struct Counts {
+    /// Requests that others have added to each name of use.
+    pub others: AtomicU64,
+    /// Requests that were added to names of use so far.
+    pub added: AtomicU64,
+    /// Leases held under the newest name.
+    pub leases: AtomicU64,
+    /// Requests that were told to a new holder.
+    pub told: AtomicU64,
+}
+
 /// Ends when dropped.
 pub struct Hive {
     orders: UnboundedSender<Order>,
-    /// Requests that others have added to each customer's counter.
-    pub others: Arc<AtomicU64>,
-    /// Requests that were added to counters so far.
-    pub added: Arc<AtomicU64>,
+    pub counts: Arc<Counts>,
 }
 
 /// Answers the words that are not of the dance.
 struct Holder {
     dance: Rc<Dance>,
-    totals: RefCell<HashMap<u64, f64>>,
-    others: Arc<AtomicU64>,
-    added: Arc<AtomicU64>,
+    totals: RefCell<BTreeMap<u64, f64>>,
+    counts: Arc<Counts>,
 }
 
 impl Host for Holder {
@@ -50,11 +61,20 @@
                 let add = |(name, sum, _): (u64, i64, u16)| {
                     let sum = units(sum);
                     let before = sums.insert(name, sum).unwrap_or(0.0);
-                    self.added.fetch_add((sum - before).max(0.0) as u64, Ordering::SeqCst);
-                    parts(sum + self.others.load(Ordering::SeqCst) as f64)
+                    if name & 1 == 1 {
+                        return parts(sum);
+                    }
+                    self.counts.added.fetch_add((sum - before).max(0.0) as u64, Ordering::SeqCst);
+                    parts(sum + self.counts.others.load(Ordering::SeqCst) as f64)
                 };
                 let totals = calls.into_iter().map(add).collect();
-                Word::Counted { tag, epoch: 1, totals }
+                let newest = sums.iter().rev().find(|(name, _)| *name & 1 == 1).map_or(0.0, |(_, sum)| *sum);
+                self.counts.leases.store(newest.round() as u64, Ordering::SeqCst);
+                Word::Counted { tag, epoch: self.dance.held(|h| h.epoch().0), totals }
+            }
+            Word::Told { told, .. } => {
+                let use_of = told.iter().filter(|t| t.0 & 1 == 0).map(|t| t.1).sum::<f64>();
+                return self.counts.told.store(use_of.round() as u64, Ordering::SeqCst);
             }
             _ => return,
         };
@@ -72,12 +92,12 @@
     /// Has bound its port when it returns.
     pub fn start(settings: Settings) -> Hive {
         let (orders, from) = unbounded_channel();
-        let hive = Hive { orders, others: Arc::default(), added: Arc::default() };
-        let (others, added) = (hive.others.clone(), hive.added.clone());
+        let hive = Hive { orders, counts: Arc::default() };
+        let counts = hive.counts.clone();
         let (bound, is_bound) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-            runtime.expect("a runtime").block_on(run(settings, from, others, added, bound));
+            runtime.expect("a runtime").block_on(run(settings, from, counts, bound));
         });
         is_bound.recv().expect("its port");
         hive
@@ -89,6 +109,9 @@
     pub fn rows(&self, number: u64, rows: Vec<Row>) {
         let _ = self.orders.send(Order::Rows(number, rows));
     }
+    pub fn epoch(&self, epoch: u64) {
+        let _ = self.orders.send(Order::Epoch(epoch));
+    }
     /// What an honest holder would not say.
     pub fn say(&self, to: Node, (epoch, index): (u64, u64), document: Document) {
         let _ = self.orders.send(Order::Say(to, Stamp { epoch, index }, document));
@@ -98,8 +121,7 @@
 async fn run(
     settings: Settings,
     mut orders: UnboundedReceiver<Order>,
-    others: Arc<AtomicU64>,
-    added: Arc<AtomicU64>,
+    counts: Arc<Counts>,
     bound: std::sync::mpsc::Sender<()>,
 ) {
     let (region, zone) = (settings.region.clone(), settings.zone.clone());
@@ -107,7 +129,7 @@
     let card = Card { core: true, region, zone, front, control, ready: true, leaving: false, load: 0 };
     let dance = Dance::open(&settings, card, false).expect("the hive's port");
     let _ = bound.send(());
-    let holder = Rc::new(Holder { dance: dance.clone(), totals: RefCell::default(), others, added });
+    let holder = Rc::new(Holder { dance: dance.clone(), totals: RefCell::default(), counts });
     let host: Rc<dyn Host> = holder.clone();
     dance.attend(Rc::downgrade(&host));
     tokio::task::spawn_local(dance.clone().run());
@@ -122,6 +144,10 @@
                 let list = Some(((1, number), Rc::from(List { number: (1, number), rows }.encode())));
                 dance.tell(News { list, ..News::default() }, Source::Origin);
             }
+            Order::Epoch(epoch) => {
+                let epoch = Some((epoch, dance.me()));
+                dance.tell(News { epoch, ..News::default() }, Source::Origin);
+            }
             Order::Say(to, stamp, d) => {
                 let state = Some(((stamp.epoch, stamp.index), ByteBuf::from(bytes(&d))));
                 let news = Word::News { digest: Default::default(), state, list: None };
--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -315,10 +315,10 @@
 fn the_counter_is_asked_first() {
     let s = srv("i-1", GOOD);
     let f = Fleet::start(vec![row(&s, "a")]);
-    let (before, added) = (s.got().len() as u64, || f.hive.added.load(Ordering::SeqCst));
+    let (before, added) = (s.got().len() as u64, || f.hive.counts.added.load(Ordering::SeqCst));
     assert_eq!(f.statuses(2, "GET /read/x", "small-key"), [200; 2]);
     assert!(added() >= s.got().len() as u64 - before, "{} added", added());
-    f.hive.others.store(1000, Ordering::SeqCst);
+    f.hive.counts.others.store(1000, Ordering::SeqCst);
     let sent = s.got().len();
     f.statuses(1, "GET /read/x", "small-key"); // may still go on by what the last total left
     let answers = f.statuses(10, "GET /read/x", "small-key");
@@ -326,6 +326,23 @@
     assert_eq!(f.statuses(3, "GET /read/x", "key"), [200; 3], "others are none the poorer");
 }
 
+/// QUOTA: a lease is held to the outcome, and a new holder is told at once what the one before knew.
+#[test]
+fn the_counters_outlive_their_holder() {
+    let s = srv("i-1", Manner::Answer(ms(500)));
+    let f = Fleet::start(vec![row(&s, "a")]);
+    let counts = &f.hive.counts;
+    std::thread::scope(|t| {
+        let asked = t.spawn(|| f.statuses(1, "GET /read/x", "small-key"));
+        until("a lease is held", || counts.leases.load(Ordering::SeqCst) == 1);
+        assert_eq!(asked.join().unwrap(), [200]);
+    });
+    until("it is given back", || counts.leases.load(Ordering::SeqCst) == 0);
+    assert_eq!(counts.told.load(Ordering::SeqCst), 0);
+    f.hive.epoch(2);
+    until("the new holder is told", || counts.told.load(Ordering::SeqCst) == 1);
+}
+
 /// LOST: after SIGTERM what was taken is answered, new connections are served for a while, and the program ends in
 /// time with 0.
 #[test]
--- a/hive/src/directory.rs
+++ b/hive/src/directory.rs
@@ -29,3 +29,43 @@
         fronts.take(FRONTS_MOST).filter_map(|m| m.card.front).collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use lupinledge_waggle::Card;
+
+    fn edge(n: u8, region: &str) -> Member {
+        let front = Some(SocketAddr::from(([10, 0, 0, n], 80)));
+        let (region, zone) = (region.to_string(), "z".to_string());
+        let card =
+            Card { core: false, region, zone, front, control: None, ready: true, leaving: false, load: 0 };
+        let (standing, digest) = (Standing::Alive, Default::default());
+        Member { node: u32::from(n), life: 1, card, standing, since: 0.0, heard: 0.0, digest }
+    }
+
+    /// Clients are told who takes them: alive, ready, not leaving, near if there are two; of many, others each time.
+    #[test]
+    fn who_takes_clients() {
+        let mut all: Vec<Member> = (1..=8).map(|n| edge(n, if n <= 3 { "near" } else { "far" })).collect();
+        let told = |all: &[Member], region: &str| {
+            let fronts = Directory::default().fronts(all.iter(), region);
+            let last =
+                |f: &SocketAddr| f.ip().to_string().rsplit('.').next().map(|n| n.parse::<u8>().unwrap());
+            fronts.iter().filter_map(last).collect::<Vec<_>>()
+        };
+        assert_eq!(told(&all, "near"), [1, 2, 3]);
+        assert_eq!(told(&all, "elsewhere"), [1, 2, 3, 4, 5, 6, 7, 8]);
+        (all[0].card.leaving, all[3].card.ready, all[4].card.core) = (true, false, true);
+        (all[5].standing, all[6].standing, all[7].card.front) = (Standing::Gone, Standing::Suspect, None);
+        assert_eq!(told(&all, "near"), [2, 3]);
+        all[1].standing = Standing::Suspect;
+        assert_eq!(told(&all, "near"), [3], "one near is too few, and none of the others is sound");
+        all[2].standing = Standing::Suspect;
+        assert_eq!(told(&all, "near"), [2, 3], "suspects are better than none");
+        let many: Vec<Member> = (1..=100).map(|n| edge(n, "near")).collect();
+        let d = Directory::default();
+        let both = [d.fronts(many.iter(), "near"), d.fronts(many.iter(), "near")];
+        assert!(both.iter().all(|b| b.len() == 64) && both[0][63] != both[1][63] && both[0][0] != both[1][0]);
+    }
+}
