Quota: a name of use stands for sixteen hours, and alone parts are of what was let through

The shared clock rolled to the next window's name while no holder answered: what had been sent since the last total was counted under the old name, and each pool read a full store from the new one. Told apart by a trace of each total (550 under the old name, then 3 under the next), and of who let in what: alone 29 in 1.5 s, as it should be. Found beside it: a customer's part took asks for use, and what was refused is taken back, so that the parts of one that is refused a lot add up to more than one. Change: the counters are the system's own, so a name may stand long: terms say for how long (16 hours; other hosts as before), and what fades is bounded by what the quota lets through. Own use is net of what is taken back. Ruled out: the holder's rebuilt totals (right to the unit), late calls (all ended by their time-out). Scenarios `stands` and `net` break without them.

--- a/forager/src/terms.rs
+++ b/forager/src/terms.rs
@@ -7,6 +7,10 @@
 use lupinledge_propolis::{Route, Service, Settings, Tables, Tenant};
 use std::collections::HashMap;
 
+/// The system's own counters keep a name for as long as is wanted: at each roll the use since the last total is
+/// forgotten, so they are rare. Its life, twice that, is told in 16 bits at the most.
+const WINDOW: f64 = 16.0 * 3600.0;
+
 /// Places by name. One that is no longer named may be given to another after two more changes.
 #[derive(Debug, Default)]
 pub struct Places {
@@ -188,6 +192,7 @@
         further: Some((0.9 * b.retry_ratio, 0.45 * b.retry_slack * each)),
         cold_sends: Some(0.45 * bound * each),
         patient: true,
+        window: Some(WINDOW),
         ..Terms::default()
     }
 }
--- a/nectar/src/lib.rs
+++ b/nectar/src/lib.rs
@@ -25,7 +25,7 @@
 pub const NAMES_MOST: usize = 100_000;
 
 /// Longest life of a name after its last use, seconds.
-pub const LIFE_MOST: f64 = 600.0;
+pub const LIFE_MOST: f64 = 40.0 * 3600.0;
 
 /// Seconds between two clearings of what has expired; an expired name counts as new before it is cleared too.
 const CLEAR: f64 = 1.0;
--- a/src/count.rs
+++ b/src/count.rs
@@ -2,7 +2,6 @@
 
 use crate::{link::*, tables::*, time::*};
 
-pub(crate) const WINDOW: f64 = 30.0; // half a name's longest life: each roll forgets others' last use
 pub(crate) const ROLL: f64 = 2.0; // DESIGN: in-flight names roll every two seconds; older totals are stale
 pub(crate) const LEAD: f64 = 0.1; // leases go to the next name this long ahead: several counter round trips
 const SHARE_MEMORY: f64 = 8.0; // seconds of own and total use: the spread of a customer moves within some
@@ -68,15 +67,15 @@
         // a new name, or the counter came back empty: own memory of the store still counts
         let less = q.total - total + call.amount > (2.0 * self.terms.largest).max(0.5 * q.total);
         let fell = less && call.epoch == q.epoch;
-        let anew = call.epoch > q.epoch || q.seen.is_none() || fell;
-        let delta = if anew { total } else { total - q.total };
         let first = q.seen.is_none();
-        let since = if first { self.now.secs() % WINDOW } else { self.now.since(cust.level_at) };
+        let delta = if call.epoch > q.epoch || first || fell { total } else { total - q.total };
+        let (of, at) = (self.terms.window(), cust.level_at);
+        let since = if first { self.now.secs() % of } else { self.now.since(at) };
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
         let all = cust.level + p.rate * since;
         let (least, most) = (all.min(p.burst) - delta, (all - delta + call.units).min(p.burst) - call.units);
-        // over more than the time in which the store fills, unsteady use evens out; but a store first met may have
-        // been emptied just now
+        // over more than the time in which the store fills, unsteady use evens out; but a store first met may
+        // have been emptied just now
         let even = if first { 1.0 } else { (-since * p.rate / p.burst.max(1e-3)).exp() };
         let least = if first { least.max(0.0).min(most) } else { least };
         cust.level = most + (least - most) * even * p.overrun_cost / (1.0 + p.overrun_cost);
@@ -85,8 +84,9 @@
         (cust.level_at, cust.run_at) = (self.now, self.now);
         cust.run = cust.level - q.flying * (1.0 + unseen) - q.owed;
         let keep = (-since / SHARE_MEMORY).exp();
-        cust.own = cust.own * keep + call.amount.max(0.0);
-        cust.all = cust.all * keep + call.amount.max(0.0) + (delta - call.amount).max(0.0);
+        // what was let through, not what was asked: parts of one that is refused a lot would pass the whole
+        cust.own = (cust.own * keep + call.amount).max(0.0);
+        cust.all = (cust.all * keep + delta).min(p.rate * SHARE_MEMORY + p.burst).max(cust.own);
         (-cust.level).max(0.0)
     }
 
@@ -167,7 +167,7 @@
             let amount =
                 std::mem::take(&mut q.owed).min(if q.fresh(self.now, ROLL) { f64::MAX } else { lack });
             (q.urgent, q.called, q.flying) = (false, self.now, q.flying + amount);
-            calls.push((false, (now / WINDOW) as u64, amount, std::mem::take(&mut q.joins)));
+            calls.push((false, (now / self.terms.window()) as u64, amount, std::mem::take(&mut q.joins)));
         }
         if p.at_once > 0 {
             let epoch = (now / ROLL) as u64;
@@ -189,7 +189,7 @@
         for (lease, epoch, amount, joins) in calls {
             let name = (self.door.id(c) << 24) | ((epoch & 0x7f_ffff) << 1) | lease as u64;
             let units = joins.iter().map(|j: &(usize, u64, f64)| j.2).sum();
-            let life = Span::from_secs(2.0 * if lease { ROLL } else { WINDOW });
+            let life = Span::from_secs(2.0 * if lease { ROLL } else { self.terms.window() });
             acts.push(Action::Count { name, amount, life });
             self.calls.put(name, Call { customer: c, lease, epoch, amount, units, joins, sent: self.now });
         }
--- a/src/link.rs
+++ b/src/link.rs
@@ -80,9 +80,15 @@
     pub cold_sends: Option<f64>,
     /// Late answers are waited for, and a req that may have run to its end.
     pub patient: bool,
+    /// For how many seconds a name of use stands; none: for half of the longest life that a counter gives one.
+    pub window: Option<f64>,
 }
 
 impl Terms {
+    /// Seconds for which a name of use stands. Each roll to the next forgets the others' last use.
+    pub fn window(&self) -> f64 {
+        self.window.unwrap_or(30.0)
+    }
     /// How far a zone is: 0 the own one, 1 near, 2 in another region.
     pub fn distance(&self, zone: u16) -> u8 {
         let region = |z: u16| self.regions.get(z as usize);
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -1,11 +1,11 @@
 //! The pool: its limit, the list of srvs, how sound and warm each is, and the choice of one.
 
-use crate::{count::*, link::*, tables::*};
+use crate::{link::*, tables::*};
 
 impl Control {
     pub(crate) fn second(&mut self) {
         self.decide();
-        self.forget(WINDOW); // a customer's names live no longer
+        self.forget(30.0);
         self.srvs.squeeze.iter_mut().for_each(|s| *s = (*s * 1.2).min(1.0));
         // Sends a second that a cold srv may get from here: half the rule's budget over what warm srvs
         // answer, which is within their capacity. Own answers count only, so all gateways' parts add up
--- a/tests/notation/mod.rs
+++ b/tests/notation/mod.rs
@@ -78,6 +78,7 @@
         further: key(w, "further").map(|_| (num(w, "ratio", 0.2), num(w, "further", 0.0))),
         cold_sends: key(w, "cold").map(|_| num(w, "cold", 0.0)),
         patient: num(w, "patient", 0.0) > 0.0,
+        window: key(w, "window").map(|_| num(w, "window", 30.0)),
     }
 }
 
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -211,6 +211,8 @@
 #[test_case("emptied"; "an empty counter does not undo the own reckoning")]
 #[test_case("lease"; "leases are returned, carried over and capped")]
 #[test_case("held"; "leases far below the cap go with the charges")]
+#[test_case("stands"; "a name that stands forgets nothing")]
+#[test_case("net"; "parts are of what was let through")]
 #[test_case("back"; "who finds no place comes back a while later")]
 #[test_case("first"; "a store first met may be empty")]
 fn scenario(name: &str) {
