--- a/forager/src/door.rs
+++ b/forager/src/door.rs
@@ -18,8 +18,8 @@
 
 /// Before the process is ready a body is read up to here, so that the answer is not lost in a reset.
 const EARLY_BODY: usize = 64 << 10;
-/// What hints are stretched by at most: those who were sent away together need not come back together.
-const SPREAD: f64 = 0.3;
+/// Seconds that are added to hints at most: those who were sent away together need not come back together.
+const SPREAD: f64 = 0.6;
 
 /// The longest that any client may say it waits, in seconds.
 const LONGEST: f64 = 3600.0;
@@ -176,7 +176,7 @@
 impl<F: Fn() -> f64 + 'static> Answering for Early<F> {
     async fn answer(&self, req: Request<Incoming>, _: &Heads, whole_by: Instant) -> Reply {
         let _ = tokio::time::timeout_at(whole_by, whole(req.into_body(), EARLY_BODY)).await;
-        let mut reply = later((self.0)() * (1.0 + SPREAD * fastrand::f64()));
+        let mut reply = later((self.0)() + SPREAD * fastrand::f64());
         reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         reply
     }
--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -23,7 +23,7 @@
 /// Seconds from the start until this process is ready, as measured: where there is a holder, and from when on a new
 /// one is to be expected.
 const JOIN: f64 = 0.25;
-const TAKEOVER: f64 = 1.4;
+const TAKEOVER: f64 = 1.7;
 
 /// Before the clock is known there are no pools; news wait for them in the dance.
 pub struct Nest {
