Apiary: the system's pure parts together in one process on virtual time, with faults

Change: a crate for tests that runs the real state machines (queen, waggle's spread, propolis' documents and judgement, nectar's duty and own sums) of 3 or 5 core machines and some edge nodes against a seeded network (loss, delay, reordered datagrams, cuts, one-way cuts), disks that tear, stall, refuse and vanish, kills, freezes, and machines lost for good.

--- /dev/null
+++ b/apiary/src/counts.rs
@@ -0,0 +1,82 @@
+//! The counters of a core process, while it holds the duty.
+
+use crate::core::Core;
+use crate::edge::{NAMES, NAME_LIFE};
+use crate::process::{Out, Say, Told};
+use crate::world::Order;
+use crate::Flaw;
+use lupinledge_nectar::duty::{Answer, Look, Seen};
+use lupinledge_nectar::told::Told as Sum;
+use lupinledge_nectar::Life;
+use lupinledge_waggle::{Member, Standing};
+
+/// The counters are looked at so often, and while they are not whole, seconds.
+const LOOK: f64 = 0.25;
+const ASK: f64 = 0.05;
+
+impl Core {
+    /// Turns to the counters of the epoch that is held; `None` where none is.
+    fn hold(&mut self, now: f64) -> Option<u64> {
+        let unheld = self.counts.0.filter(|_| self.flaw == Flaw::CountsUnheld);
+        let epoch = self.queen.leads(now).or(unheld)?;
+        self.duty.hold(now, epoch);
+        self.counts.0 = Some(epoch);
+        Some(epoch)
+    }
+
+    pub(crate) fn look(&mut self, now: f64, out: &mut Out) {
+        self.counts.1 = now + LOOK;
+        let Some(epoch) = self.hold(now) else { return };
+        let seen = |m: &Member| {
+            let (alive, gone) = (m.standing == Standing::Alive, m.standing == Standing::Gone);
+            Seen { node: m.node, alive, leaving: m.card.leaving, gone }
+        };
+        let gateways: Vec<Seen> = self.spread.swarm().members().filter(|m| !m.card.core).map(seen).collect();
+        let look = self.duty.look(now, &gateways);
+        if matches!(look, Look::Ask(_)) {
+            self.counts.1 = now + ASK;
+        }
+        match look {
+            Look::Whole(_) if self.flaw == Flaw::CountsAsked => {}
+            Look::Whole(nodes) | Look::Ask(nodes) => {
+                out.extend(nodes.into_iter().map(|node| Order::Cast(node, Say::Hold { epoch })));
+            }
+            Look::Closed(answers, _) => {
+                answers.into_iter().for_each(|answer| self.answer(epoch, answer, out));
+            }
+        }
+    }
+
+    fn answer(&mut self, epoch: u64, Answer { from, tag, totals }: Answer, out: &mut Out) {
+        for (name, total) in NAMES.into_iter().zip(&totals) {
+            out.push(Order::Tell(Told::Total { epoch, name, total: *total }));
+        }
+        out.push(Order::Send(from.0, Say::Counted { tag, epoch, totals }));
+    }
+
+    pub(crate) fn gather(&mut self, now: f64, from: Life, told: &[Sum], out: &mut Out) {
+        let Some(epoch) = self.hold(now) else { return };
+        let before = self.duty.counters().is_some_and(|counters| !counters.whole());
+        for sum in told {
+            out.push(Order::Tell(Told::Put { epoch, from, name: sum.name, sum: sum.sum }));
+            out.push(Order::Tell(Told::Gathered { epoch, from, told: *sum, before }));
+        }
+        if self.flaw != Flaw::CountsDeaf {
+            self.duty.tell(now, from, told);
+        }
+    }
+
+    /// Takes the sums of a gateway, as the holder; else tells it that this is not the holder.
+    pub(crate) fn count(&mut self, now: f64, from: Life, tag: u64, calls: &[(u64, f64)], out: &mut Out) {
+        let Some(epoch) = self.hold(now) else {
+            return out.push(Order::Send(from.0, Say::Counted { tag, epoch: 0, totals: Vec::new() }));
+        };
+        for (name, sum) in calls {
+            out.push(Order::Tell(Told::Put { epoch, from, name: *name, sum: *sum }));
+        }
+        let calls = calls.iter().map(|(name, sum)| (*name, *sum, NAME_LIFE));
+        if let Some(totals) = self.duty.count(now, from, tag, calls) {
+            self.answer(epoch, Answer { from, tag, totals }, out);
+        }
+    }
+}
--- /dev/null
+++ b/apiary/src/process.rs
@@ -0,0 +1,162 @@
+//! A process of either kind, and what the processes say.
+
+use crate::core::Core;
+use crate::edge::Edge;
+use crate::world::{Life as Lives, Order};
+use crate::Node;
+use lupinledge_nectar::{told::Told as Sum, Life};
+use lupinledge_propolis::{Answer, Document};
+use lupinledge_queen::{Kept, Msg, Stamp, Value};
+use lupinledge_waggle::{Card, Said, Sends};
+use std::rc::Rc;
+
+/// Orders to a process.
+pub type Out = Vec<Order<Process>>;
+
+/// An operator's order, owned.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// See [`lupinledge_propolis::Order`].
+    Put(Rc<[u8]>),
+    /// The same.
+    Get,
+    /// The same.
+    Evacuate(&'static str),
+    /// The same.
+    Restore(&'static str),
+}
+
+/// What comes of a command.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Reply {
+    /// The whole has spoken.
+    Said(Answer),
+    /// Another process is to be asked.
+    Elsewhere,
+    /// Nobody can tell: it may have been taken.
+    Later,
+}
+
+/// What goes over the network. The programs have these as words of `wax`.
+#[derive(Clone)]
+pub enum Say {
+    /// Membership and news.
+    Spread(Said),
+    /// Agreement.
+    Queen(Msg),
+    /// To the holder: sums of what this gateway added.
+    Count { tag: u64, life: u16, calls: Vec<(u64, f64)> },
+    /// The totals; none: this process is not the holder.
+    Counted { tag: u64, epoch: u64, totals: Vec<f64> },
+    /// From a new holder: tell me what you had told.
+    Hold { epoch: u64 },
+    /// To a new holder, ahead of the first count.
+    Told { life: u16, told: Vec<Sum> },
+    /// An operator's command with its number.
+    Command(u64, Command),
+}
+
+/// Puts the words of membership and news on their ways.
+pub fn send(sends: Sends, out: &mut Out) {
+    out.extend(sends.into_iter().map(|(to, said)| match said {
+        Said::Probe(_) => Order::Cast(to, Say::Spread(said)),
+        _ => Order::Send(to, Say::Spread(said)),
+    }));
+}
+
+/// What the truth is told.
+pub enum Told {
+    /// This core machine takes a value for committed.
+    Committed(Stamp, Rc<Value>),
+    /// It won an epoch.
+    Won(u64),
+    /// It stands by an epoch: `kept`, it promised it or voted in it; else it answered the holder's beat, which
+    /// binds nobody.
+    Stands { epoch: u64, kept: bool },
+    /// It heard what others hold, on its empty disk.
+    Learnt,
+    /// It answered a command.
+    Replied(u64, Reply),
+    /// As the holder of an epoch it took a gateway's sum.
+    Put { epoch: u64, from: Life, name: u64, sum: f64 },
+    /// As the holder of an epoch it heard what a gateway had told before; `before` its counters were whole.
+    Gathered { epoch: u64, from: Life, told: Sum, before: bool },
+    /// As the holder of an epoch it tells a total.
+    Total { epoch: u64, name: u64, total: f64 },
+    /// This edge node adds to a counter.
+    Added { name: u64, amount: f64 },
+    /// This edge node works by a document.
+    Took(Stamp, Rc<Document>),
+    /// It says that it is ready.
+    Ready,
+    /// It was told totals of names under an epoch.
+    Counted { epoch: u64, totals: Vec<(u64, f64)> },
+}
+
+/// A process.
+pub enum Process {
+    /// On a core machine.
+    Core(Box<Core>),
+    /// On an edge machine.
+    Edge(Box<Edge>),
+}
+
+impl Process {
+    /// If it is one of the core.
+    pub fn core(&self) -> Option<&Core> {
+        match self {
+            Process::Core(core) => Some(core),
+            Process::Edge(_) => None,
+        }
+    }
+
+    /// If it is one of the edge.
+    pub fn edge(&self) -> Option<&Edge> {
+        match self {
+            Process::Core(_) => None,
+            Process::Edge(edge) => Some(edge),
+        }
+    }
+}
+
+impl Lives for Process {
+    type Word = Say;
+    type Kept = Kept;
+    type Told = Told;
+
+    fn tick(&mut self, now: f64, out: &mut Out) {
+        match self {
+            Process::Core(core) => core.tick(now, out),
+            Process::Edge(edge) => edge.tick(now, out),
+        }
+    }
+
+    fn heard(&mut self, now: f64, from: Node, say: Say, out: &mut Out) {
+        match (self, say) {
+            (Process::Core(core), Say::Command(id, command)) => core.command(now, id, command, out),
+            (Process::Core(core), say) => core.heard(now, from, say, out),
+            (Process::Edge(edge), say) => edge.heard(now, from, say, out),
+        }
+    }
+
+    fn saved(&mut self, now: f64, ticket: u64, ok: bool, out: &mut Out) {
+        if let Process::Core(core) = self {
+            core.saved(now, ticket, ok, out);
+        }
+    }
+
+    fn next_wake(&self) -> f64 {
+        match self {
+            Process::Core(core) => core.next_wake(),
+            Process::Edge(edge) => edge.next_wake(),
+        }
+    }
+}
+
+/// The card of a machine; they stand in two regions.
+pub fn card(node: Node, core: bool) -> Card {
+    let region = format!("region-{}", node / 10 % 2);
+    let at = |port| Some(std::net::SocketAddr::from((std::net::Ipv4Addr::from(node), port)));
+    let (front, control) = if core { (None, at(2)) } else { (at(1), None) };
+    Card { core, zone: format!("{region}-a"), region, front, control, ready: false, leaving: false, load: 0 }
+}
--- /dev/null
+++ b/apiary/src/site.rs
@@ -0,0 +1,211 @@
+//! A site in trouble: plays the steps of a schedule against the processes.
+
+use crate::core::Core;
+use crate::edge::Edge;
+use crate::process::{Command, Process, Say};
+use crate::{Flaw, Net, Node, Plan, Truth, World};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// Who sends commands; no machine.
+const OPERATOR: Node = 1;
+/// The edge nodes are looked at so often, seconds.
+pub(crate) const LOOK: f64 = 0.1;
+/// While a process is to be caught in the act.
+const GRAIN: f64 = 0.004;
+
+/// See the module.
+pub struct Site {
+    /// The machines.
+    pub world: World<Process, Truth>,
+    /// The core machines that aren't lost for good.
+    pub cores: Vec<Node>,
+    /// The edge machines.
+    pub edges: Vec<Node>,
+    pub(crate) seeds: Vec<Node>,
+    pub(crate) flaw: Flaw,
+    /// How many disks may be empty at once.
+    pub(crate) tolerate: usize,
+    /// Until when the ways are cut, and the weather is bad.
+    pub(crate) heal_at: (f64, f64),
+    /// Until when an edge node had trouble of its own.
+    pub(crate) rough: BTreeMap<Node, f64>,
+    /// Until when the first that votes anew loses power.
+    pub(crate) trip_until: f64,
+    pub(crate) replacements: u32,
+    pub(crate) sent: Vec<Rc<[u8]>>,
+    versions: u64,
+}
+
+impl Site {
+    /// All machines start.
+    pub fn new(plan: &Plan, flaw: Flaw) -> Site {
+        let net = Net::new(1, f64::from(plan.delay) / 1000.0);
+        let cores: Vec<Node> = (1..=plan.cores.1 as Node).map(|n| 10 * n).collect();
+        let edges: Vec<Node> = (1..=plan.edges as Node).map(|n| 1000 + 10 * n).collect();
+        let seeds = cores[..plan.cores.0].to_vec();
+        let tolerate = (seeds.len() - 1) / 2;
+        let world = World::new(plan.seed, net, Truth::default());
+        let mut site = Site {
+            world,
+            cores,
+            edges,
+            seeds,
+            flaw,
+            tolerate,
+            heal_at: (0.0, 0.0),
+            rough: BTreeMap::new(),
+            trip_until: 0.0,
+            replacements: 0,
+            sent: Vec::new(),
+            versions: 0,
+        };
+        site.start();
+        site
+    }
+
+    /// Starts what is down.
+    fn start(&mut self) {
+        self.start_cores();
+        self.start_edges();
+    }
+
+    pub(crate) fn start_cores(&mut self) {
+        for node in self.cores.clone() {
+            if self.world.life(node).is_none() {
+                let (seeds, flaw) = (&self.seeds, self.flaw);
+                self.world.start(node, |begin| Process::Core(Box::new(Core::new(node, begin, seeds, flaw))));
+                self.rough(0.0);
+            }
+        }
+    }
+
+    pub(crate) fn start_edges(&mut self) {
+        for node in self.edges.clone() {
+            if self.world.life(node).is_none() {
+                let (seeds, flaw) = (&self.cores, self.flaw);
+                self.world.start(node, |begin| Process::Edge(Box::new(Edge::new(node, begin, seeds, flaw))));
+            }
+        }
+    }
+
+    /// There is trouble of the core or the network for so long from now on.
+    pub(crate) fn rough(&mut self, span: f64) {
+        let until = self.world.now + span;
+        let truth = &mut self.world.watch;
+        truth.rough_until = truth.rough_until.max(until);
+    }
+
+    /// The newest roll that was committed anywhere; the founding one before.
+    fn roll(&self) -> BTreeSet<Node> {
+        let newest = self.world.watch.newest();
+        newest.map_or(&self.seeds, |(_, value, _)| &value.roll).iter().copied().collect()
+    }
+
+    /// Members whose disk is empty or not learnt anew yet, or which are lost.
+    pub(crate) fn weak(&self) -> usize {
+        let empty = |node| self.world.machines.get(node).is_none_or(|machine| machine.disk.kept.is_none());
+        self.roll().iter().filter(|&node| !self.cores.contains(node) || empty(node)).count()
+    }
+
+    /// Do just those count that are there, and does no change of the roll go on?
+    pub(crate) fn settled(&self) -> bool {
+        let joined = self.world.watch.newest().is_some_and(|(_, value, _)| value.old.is_empty());
+        joined && self.roll() == self.cores.iter().copied().collect()
+    }
+
+    /// Those who took themselves for a holder backed by a majority when they last ran.
+    pub fn leaders(&self) -> Vec<Node> {
+        let leads = |node: &Node| self.world.life(*node)?.core()?.leads();
+        self.cores.iter().copied().filter(|node| leads(node).is_some()).collect()
+    }
+
+    /// Lets the time pass, and looks at the edge nodes.
+    pub fn pass(&mut self, span: f64) {
+        let end = self.world.now + span;
+        while self.world.now < end && self.world.watch.broken.is_none() {
+            let armed = self.trip_until > self.world.now;
+            let next = if armed { GRAIN } else { LOOK }.min(end - self.world.now);
+            self.world.watch.turned = None;
+            self.world.run(next);
+            if let Some(node) = self.world.watch.turned.filter(|_| armed) {
+                self.trip_until = 0.0;
+                self.kill(node);
+                self.start_cores();
+            }
+            let now = self.world.now;
+            if now >= self.heal_at.0 {
+                self.world.net.cuts.clear();
+            }
+            if now >= self.heal_at.1 {
+                (self.world.net.loss, self.world.net.late) = (1, 0);
+            }
+            self.look();
+        }
+    }
+
+    /// An edge node in touch follows what was acknowledged.
+    fn look(&mut self) {
+        let now = self.world.now;
+        if !self.world.watch.calm(now) {
+            return;
+        }
+        let needed = self.world.watch.needed(now);
+        for node in &self.edges {
+            let Some(machine) = self.world.machines.get(node) else { continue };
+            let Some(edge) = machine.life.as_ref().and_then(Process::edge) else { continue };
+            let touch = self.rough.get(node).is_none_or(|until| now - until >= crate::truth::CONTACT);
+            let held = edge.document.as_ref().map_or(0, |document| document.0.index);
+            if touch && edge.ready && held < needed {
+                let text = format!("{node} is in touch and holds {held}, but {needed} was acknowledged");
+                return self.world.watch.wrong(text);
+            }
+        }
+    }
+
+    pub(crate) fn core(&self, place: u8) -> Node {
+        self.cores[usize::from(place) % self.cores.len()]
+    }
+
+    pub(crate) fn edge(&self, place: u8) -> Node {
+        self.edges[usize::from(place) % self.edges.len()]
+    }
+
+    /// Sends a command; to all that take themselves for the holder where no place is told.
+    pub fn ask(&mut self, place: Option<u8>, command: Command) {
+        let to = place.map_or_else(|| self.leaders(), |place| vec![self.core(place)]);
+        for node in to {
+            let id = self.world.number();
+            self.world.watch.asked(id, command.clone());
+            self.world.post(OPERATOR, node, Say::Command(id, command.clone()), true);
+        }
+    }
+
+    /// A new configuration on top of a version.
+    pub fn config(&mut self, base: u64) -> Command {
+        self.versions = self.versions.max(base) + 1;
+        let (version, seed) = (self.versions, self.sent.len());
+        let text = format!(
+            "{{\"version\":\"r{version}\",\"base_version\":\"r{base}\",\"nth\":{seed},\"listeners\":[],\"clusters\":[]}}"
+        );
+        let body: Rc<[u8]> = text.into_bytes().into();
+        self.sent.push(body.clone());
+        Command::Put(body)
+    }
+
+    /// All faults end; what is down starts.
+    pub fn calm(&mut self) {
+        let now = self.world.now;
+        self.heal_at = (now, now);
+        self.world.net.cuts.clear();
+        (self.world.net.loss, self.world.net.late) = (1, 0);
+        for machine in self.world.machines.values_mut() {
+            machine.frozen_until = machine.frozen_until.min(now);
+            machine.disk.stalled_until = machine.disk.stalled_until.min(now);
+            machine.disk.refuses = 0;
+        }
+        self.rough.values_mut().for_each(|until| *until = until.min(now));
+        self.world.watch.rough_until = now;
+        self.start();
+    }
+}
