--- a/apiary/src/core.rs
+++ b/apiary/src/core.rs
@@ -122,7 +122,8 @@
             }
             Say::Count { tag, life, calls } => self.count(now, (from, life), tag, &calls, out),
             Say::Told { life, told } => self.gather(now, (from, life), &told, out),
-            Say::Hold { .. } | Say::Counted { .. } | Say::Command(..) => {}
+            Say::Clock if self.queen.leads(now).is_some() => out.push(Order::Cast(from, Say::ClockIs)),
+            Say::Clock | Say::ClockIs | Say::Hold { .. } | Say::Counted { .. } | Say::Command(..) => {}
         }
     }
 
--- a/apiary/src/edge.rs
+++ b/apiary/src/edge.rs
@@ -13,6 +13,9 @@
 /// Seconds between two calls to the counters, and how long a name lives there.
 const COUNT: f64 = 0.5;
 pub const NAME_LIFE: f64 = 600.0;
+/// The clock is asked for so often, and so long, seconds.
+const CLOCK: f64 = 0.3;
+const CLOCK_WAIT: f64 = 3.0;
 /// Calls without an answer.
 const WAITING_MOST: usize = 64;
 /// The counters that all edge nodes add to: of two customers, names of use.
@@ -33,9 +36,14 @@
     /// Clients come here.
     pub ready: bool,
     flaw: Flaw,
-    life: u16,
+    pub(crate) life: u16,
     own: Own,
     holder: (u64, Node),
+    /// Whom to ask for the clock, when next, and whether it is known.
+    seeds: Vec<Node>,
+    began: f64,
+    clock_at: f64,
+    clock: bool,
     count_at: f64,
     tag: u64,
     calls: VecDeque<Call>,
@@ -54,6 +62,10 @@
             life: run as u16,
             own: Own::default(),
             holder: (0, 0),
+            seeds: seeds.to_vec(),
+            began: now,
+            clock_at: now,
+            clock: false,
             count_at: now,
             tag: 0,
             calls: VecDeque::new(),
@@ -61,7 +73,8 @@
     }
 
     pub(crate) fn next_wake(&self) -> f64 {
-        self.spread.next_wake().min(self.count_at)
+        let clock = if self.clock { f64::INFINITY } else { self.clock_at };
+        self.spread.next_wake().min(self.count_at).min(clock)
     }
 
     pub(crate) fn tick(&mut self, now: f64, out: &mut Out) {
@@ -73,6 +86,13 @@
             self.count_at = now + COUNT;
             self.count(now, out);
         }
+        if !self.clock && now >= self.clock_at {
+            self.clock_at = if now < self.began + CLOCK_WAIT { now + CLOCK } else { f64::INFINITY };
+            let holder = Some(self.holder.1).filter(|node| *node != 0 && !self.seeds.contains(node));
+            let asked = self.seeds.iter().copied().chain(holder);
+            out.extend(asked.map(|node| Order::Cast(node, Say::Clock)));
+        }
+        self.show(now, out);
     }
 
     fn send(&self, mut sends: lupinledge_waggle::Sends, out: &mut Out) {
@@ -104,8 +124,10 @@
                 }
             }
             Say::Counted { tag, epoch, totals } => self.counted(from, tag, epoch, &totals, out),
+            Say::ClockIs => self.clock = true,
             _ => {}
         }
+        self.show(now, out);
     }
 
     fn news(&mut self, now: f64, fresh: News, out: &mut Out) {
@@ -117,7 +139,12 @@
         if let Some((stamp, bytes)) = &fresh.state {
             self.follow(*stamp, bytes, out);
         }
-        let known = self.document.is_some() || self.flaw == Flaw::ReadyBare;
+    }
+
+    /// As in the forager's start: with the holder and its clock known (or not in time), and a document.
+    fn show(&mut self, now: f64, out: &mut Out) {
+        let clock = self.clock || now >= self.began + CLOCK_WAIT;
+        let known = clock && self.document.is_some() || self.flaw == Flaw::ReadyBare;
         if !self.ready && known && self.holder.1 != 0 {
             self.ready = true;
             self.spread.set_card(|card| card.ready = true);
--- a/apiary/src/faults.rs
+++ b/apiary/src/faults.rs
@@ -1,7 +1,7 @@
 //! What each step of a schedule does to a site.
 
 use crate::core::ZONES;
-use crate::process::Command;
+use crate::process::{Command, Process};
 use crate::site::LOOK;
 use crate::{Node, Site, Step};
 
@@ -88,12 +88,12 @@
                 self.heal_at.1 = self.world.now + span;
                 self.rough(span + LOOK);
             }
-            Step::KillEdge(place) => self.world.kill(self.edge(place)),
+            Step::KillEdge(place) => self.kill_edge(self.edge(place)),
             Step::StartEdges => self.start_edges(),
             Step::FreezeEdge(place, span) => {
                 let (node, span) = (self.edge(place), f64::from(span) / 1000.0);
                 self.world.freeze(node, span);
-                self.rough.insert(node, self.world.now + span);
+                self.world.watch.rough.insert(node, self.world.now + span);
             }
             Step::Calm => {
                 self.calm();
@@ -125,6 +125,14 @@
         }
     }
 
+    pub(crate) fn kill_edge(&mut self, node: Node) {
+        if let Some(edge) = self.world.life(node).and_then(Process::edge) {
+            let life = edge.life;
+            self.world.watch.sums.ended((node, life));
+        }
+        self.world.kill(node);
+    }
+
     pub(crate) fn kill(&mut self, node: Node) {
         self.world.kill(node);
         self.rough(0.0);
--- a/apiary/src/play.rs
+++ b/apiary/src/play.rs
@@ -79,7 +79,7 @@
     }
     site.pass(crate::truth::CONTACT);
     let last = site.edges[site.edges.len() - 1];
-    site.world.kill(last);
+    site.kill_edge(last);
     let put = site.config(site.world.watch.version(0));
     site.ask(None, put);
     site.pass(crate::truth::APPLY + 0.5);
--- a/apiary/src/process.rs
+++ b/apiary/src/process.rs
@@ -45,13 +45,29 @@
     /// Agreement.
     Queen(Msg),
     /// To the holder: sums of what this gateway added.
-    Count { tag: u64, life: u16, calls: Vec<(u64, f64)> },
+    Count {
+        tag: u64,
+        life: u16,
+        calls: Vec<(u64, f64)>,
+    },
     /// The totals; none: this process is not the holder.
-    Counted { tag: u64, epoch: u64, totals: Vec<f64> },
+    Counted {
+        tag: u64,
+        epoch: u64,
+        totals: Vec<f64>,
+    },
     /// From a new holder: tell me what you had told.
-    Hold { epoch: u64 },
+    Hold {
+        epoch: u64,
+    },
     /// To a new holder, ahead of the first count.
-    Told { life: u16, told: Vec<Sum> },
+    Told {
+        life: u16,
+        told: Vec<Sum>,
+    },
+    /// What does your clock show? And the holder's answer.
+    Clock,
+    ClockIs,
     /// An operator's command with its number.
     Command(u64, Command),
 }
--- a/apiary/src/site.rs
+++ b/apiary/src/site.rs
@@ -4,7 +4,7 @@
 use crate::edge::Edge;
 use crate::process::{Command, Process, Say};
 use crate::{Flaw, Net, Node, Plan, Truth, World};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 
 /// Who sends commands; no machine.
@@ -28,8 +28,6 @@
     pub(crate) tolerate: usize,
     /// Until when the ways are cut, and the weather is bad.
     pub(crate) heal_at: (f64, f64),
-    /// Until when an edge node had trouble of its own.
-    pub(crate) rough: BTreeMap<Node, f64>,
     /// Until when the first that votes anew loses power.
     pub(crate) trip_until: f64,
     pub(crate) replacements: u32,
@@ -54,7 +52,6 @@
             flaw,
             tolerate,
             heal_at: (0.0, 0.0),
-            rough: BTreeMap::new(),
             trip_until: 0.0,
             replacements: 0,
             sent: Vec::new(),
@@ -154,7 +151,7 @@
         for node in &self.edges {
             let Some(machine) = self.world.machines.get(node) else { continue };
             let Some(edge) = machine.life.as_ref().and_then(Process::edge) else { continue };
-            let touch = self.rough.get(node).is_none_or(|until| now - until >= crate::truth::CONTACT);
+            let touch = self.world.watch.touch(now, *node);
             let held = edge.document.as_ref().map_or(0, |document| document.0.index);
             if touch && edge.ready && held < needed {
                 let text = format!("{node} is in touch and holds {held}, but {needed} was acknowledged");
@@ -204,8 +201,7 @@
             machine.disk.stalled_until = machine.disk.stalled_until.min(now);
             machine.disk.refuses = 0;
         }
-        self.rough.values_mut().for_each(|until| *until = until.min(now));
-        self.world.watch.rough_until = now;
+        self.world.watch.healed(now);
         self.start();
     }
 }
--- a/apiary/src/sums.rs
+++ b/apiary/src/sums.rs
@@ -25,8 +25,12 @@
 pub struct Sums {
     /// By name, all that was ever added, and what of it holders may count twice.
     added: BTreeMap<u64, (f64, f64)>,
+    /// By name, what some total had beyond that while a gateway that counted had not told yet.
+    over: BTreeMap<u64, f64>,
     /// By epoch and name.
     counts: BTreeMap<(u64, u64), Count>,
+    /// Gateways' processes that ended: one that had not told a new holder will not any more.
+    ended: BTreeSet<Life>,
 }
 
 impl Sums {
@@ -35,6 +39,11 @@
         self.added.entry(name).or_default().0 += amount;
     }
 
+    /// A gateway's process ends.
+    pub fn ended(&mut self, life: Life) {
+        self.ended.insert(life);
+    }
+
     /// A holder takes a gateway's sum.
     pub fn put(&mut self, epoch: u64, from: Life, name: u64, sum: f64) {
         self.counts.entry((epoch, name)).or_default().sums.insert(from, sum);
@@ -42,26 +51,31 @@
 
     /// A holder hears what a gateway had told before; `before` its totals are whole. What the gateway added since the
     /// last total that it was told may be in the totals of others already, and is taken for others' then: so much may
-    /// be counted twice from here on.
+    /// be counted twice from here on. So is what was counted twice for a while, if that total is told to the next holder.
     pub fn gathered(&mut self, epoch: u64, from: Life, told: Told, before: bool) {
         let count = self.counts.entry((epoch, told.name)).or_default();
+        let twice = &mut self.added.entry(told.name).or_default().1;
         if before {
             count.before = count.before.max(told.total);
+            *twice += self.over.remove(&told.name).unwrap_or(0.0);
         }
         if count.tellers.insert(from) {
-            self.added.entry(told.name).or_default().1 += (told.sum - told.within).max(0.0);
+            *twice += (told.sum - told.within).max(0.0);
         }
     }
 
     /// A total has at least what the holder was told, and at most what was ever added and may be counted twice. One
-    /// that counts and has not told yet is counted twice too, but not once it is `calm`.
+    /// that counts and has not told yet is counted twice too, but once it is `calm` only if it ended before.
     pub fn total(&mut self, epoch: u64, name: u64, total: f64, calm: bool) -> Result<(), String> {
         let count = self.counts.entry((epoch, name)).or_default();
         count.told = count.told.max(total);
         let least = count.sums.values().sum::<f64>().max(count.before);
-        let untold = count.sums.iter().filter(|(life, _)| !calm && !count.tellers.contains(life));
+        let late = |life: &Life| (!calm || self.ended.contains(life)) && !count.tellers.contains(life);
+        let untold = count.sums.iter().filter(|(life, _)| late(life));
         let untold: f64 = untold.map(|(_, sum)| *sum).sum();
         let (added, twice) = self.added.get(&name).copied().unwrap_or_default();
+        let over = self.over.entry(name).or_default();
+        *over = over.max(total - added - twice);
         let twice = twice + untold;
         if total >= least - NEAR && total <= added + twice + NEAR {
             return Ok(());
--- a/apiary/src/truth.rs
+++ b/apiary/src/truth.rs
@@ -58,6 +58,8 @@
     pub seen: Seen,
     /// Until when there was trouble of the core or the network.
     pub rough_until: f64,
+    /// Until when an edge node had trouble of its own.
+    pub rough: BTreeMap<Node, f64>,
     log: BTreeMap<u64, (Rc<Value>, Rc<Document>)>,
     /// Newest index that somebody was told of.
     floor: u64,
@@ -77,7 +79,7 @@
     /// What a run holds.
     held: BTreeMap<(Node, u64), (u64, Rc<Document>)>,
     /// The counters.
-    sums: Sums,
+    pub(crate) sums: Sums,
 }
 
 /// Base of a configuration, its number.
@@ -126,6 +128,17 @@
         now - self.rough_until >= CONTACT
     }
 
+    /// Had an edge node no trouble of its own for as long? One that stood still may work for a moment by what waited.
+    pub fn touch(&self, now: f64, node: Node) -> bool {
+        self.rough.get(&node).is_none_or(|until| now - until >= CONTACT)
+    }
+
+    /// All trouble ends.
+    pub fn healed(&mut self, now: f64) {
+        self.rough_until = now;
+        self.rough.values_mut().for_each(|until| *until = until.min(now));
+    }
+
     /// What a run holds: an index of a document.
     pub fn holds(&self, node: Node, run: u64) -> Option<u64> {
         self.held.get(&(node, run)).map(|held| held.0)
@@ -262,7 +275,7 @@
         self.seen.ready += 1;
         match self.holds(node, run) {
             None => self.wrong(format!("{node} is ready with nothing")),
-            Some(index) if self.calm(now) && index < self.needed(now) => {
+            Some(index) if self.calm(now) && self.touch(now, node) && index < self.needed(now) => {
                 let needed = self.needed(now);
                 self.wrong(format!(
                     "{node} starts with {index}, but {needed} was acknowledged {APPLY} s before"
