Counters: what ended processes had used is lost with a holder, but does not go on

A new holder finds what nobody tells by the last totals, and presumed all of it to go on in the three that were cut off; most of it had been used by processes that had ended since and were back under another life. Change: no one that is missing is presumed to have a larger part than the largest that tells. All that is lost stays counted.

--- a/nectar/src/told.rs
+++ b/nectar/src/told.rs
@@ -26,11 +26,19 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Gathering {
     told: BTreeSet<Node>,
-    /// By name of use, until the counters are whole: the largest total, and the sums within the totals.
-    before: HashMap<u64, (f64, f64)>,
+    /// By name of use, until the counters are whole.
+    before: HashMap<u64, Before>,
     whole: bool,
 }
 
+/// Of one name: the largest total, the sums within the totals, and the largest of these sums.
+#[derive(Clone, Copy, Debug, Default)]
+struct Before {
+    total: f64,
+    within: f64,
+    most: f64,
+}
+
 impl Counters {
     /// Whether totals are those of all, and not of those alone that were heard so far.
     pub fn whole(&self) -> bool {
@@ -63,8 +71,9 @@
                     (kept.lost, kept.total) = (kept.lost - found, kept.total - found);
                 }
                 _ => {
-                    let (total, within) = self.gathering.before.entry(t.name).or_default();
-                    (*total, *within) = (total.max(t.total), *within + t.within);
+                    let b = self.gathering.before.entry(t.name).or_default();
+                    (b.total, b.within, b.most) =
+                        (b.total.max(t.total), b.within + t.within, b.most.max(t.within));
                 }
             }
         }
@@ -78,12 +87,14 @@
         }
         let missing: Vec<Node> = missing.iter().copied().filter(|n| !self.told(*n)).collect();
         missing.iter().for_each(|&n| self.silence.heard(self.now, n));
-        for (name, (total, within)) in std::mem::take(&mut self.gathering.before) {
-            let lost = (total - within).max(0.0);
+        for (name, b) in std::mem::take(&mut self.gathering.before) {
+            let lost = (b.total - b.within).max(0.0);
             if let Some(kept) = self.names.get_mut(&name) {
                 (kept.lost, kept.total) = (lost, kept.total + lost);
             }
-            let each = lost / missing.len().max(1) as f64;
+            // what ended processes had used is lost too, and does not go on: no one that is missing has a larger part
+            // than the largest that tells
+            let each = (lost / missing.len().max(1) as f64).min(if b.most > 0.0 { b.most } else { lost });
             missing.iter().for_each(|&n| self.silence.used(self.now, n, customer(name), each));
         }
     }
--- a/nectar/tests/model.rs
+++ b/nectar/tests/model.rs
@@ -326,3 +326,21 @@
         assert!((total - all).abs() < 1e-6, "{total} counted, {all} sent; {gone:?}, {own:?}");
     });
 }
+
+/// Most of what was lost was used by processes that ended; the one that is missing goes on with its own part of it.
+#[test]
+fn what_ended_processes_used_does_not_go_on() {
+    let mut c = Counters::new(2);
+    c.quota(CUSTOMER, 100.0);
+    let told = |sum: f64| [Told { name: NAME, sum, within: sum, total: 1000.0, life: 60.0 }];
+    c.tell(0.0, (1, 1), &told(100.0));
+    c.tell(0.0, (2, 1), &told(100.0));
+    c.tell(0.0, (3, 2), &told(0.0)); // started anew: some of the 800 that are lost were its own
+    c.close(0.0, &[4]);
+    assert_eq!(c.total(NAME), 1000.0, "all stays counted");
+    for i in 1..=40 {
+        (1..=3).for_each(|n| c.heard(0.1 * i as f64, n));
+    }
+    let presumed = c.presumed(NAME);
+    assert!((100.0..180.0).contains(&presumed), "{presumed} presumed: a third goes on, not four fifths");
+}
