--- a/forager/src/guard.rs
+++ b/forager/src/guard.rs
@@ -72,9 +72,9 @@
     fn turn(&mut self) {
         self.turns = self.turns.wrapping_add(1);
         let (tables, config) = (self.pools.tables(), self.nest.config());
-        let due = if self.turns % BUILD == 0 { self.nest.due() } else { None };
+        let due = if self.turns.is_multiple_of(BUILD) { self.nest.due() } else { None };
         let found = self.audit.turn(&tables, config.as_deref(), due.as_ref()).or_else(|| {
-            let looks = self.turns % TERMS == 0;
+            let looks = self.turns.is_multiple_of(TERMS);
             let stray = looks.then(|| self.pools.stray((self.turns / TERMS) as usize)).flatten();
             stray.map(|(part, name)| Finding { part, names: vec![name] })
         });
@@ -106,7 +106,7 @@
                 let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
                 let (part, print) = (part.map_or(u8::MAX, |p| p as u8), self.audit.live().parts());
                 let rules = Rules { index, print, part, judge: judge as u8, times: times as u16, since };
-                self.dance.set_card(|c| (c.ready, c.rules) = (false, Some(rules)));
+                self.dance.set_card(|c| (c.ready, c.rules) = (false, Some(Box::new(rules))));
             }
             Act::Rebuild => self.nest.rebuild(),
             Act::Afresh => self.nest.afresh(self.pools.shut().0.is_some()),
--- a/sentry/src/verdict.rs
+++ b/sentry/src/verdict.rs
@@ -67,7 +67,8 @@
 
 /// Compares with all others that are known.
 pub fn compare<'a>(now: f64, own: &Own, holder: Node, members: impl Iterator<Item = &'a Member>) -> Others {
-    let (mut told, mut peers): (Vec<(u32, usize, bool)>, Vec<(u32, usize)>) = Default::default();
+    let mut told: Vec<(u32, usize, bool)> = Vec::new();
+    let mut peers: Vec<(u32, usize)> = Vec::new();
     let (mut newest, mut ready, mut served) = (0, 0, Vec::new());
     for m in members {
         let there = m.standing != Standing::Gone;
--- a/sentry/tests/world/mod.rs
+++ b/sentry/tests/world/mod.rs
@@ -210,8 +210,8 @@
     pub fn new_holder(&mut self) {
         self.epoch += 1;
         let side = self.procs[self.holder].side;
-        let others = (0..CORES).filter(|i| *i != self.holder && self.procs[*i].side == side);
-        self.holder = others.last().unwrap_or(self.holder);
+        let mut others = (0..CORES).filter(|i| *i != self.holder && self.procs[*i].side == side);
+        self.holder = others.next_back().unwrap_or(self.holder);
         self.tell_core();
     }
 
--- a/waggle/src/words.rs
+++ b/waggle/src/words.rs
@@ -25,7 +25,7 @@
     /// It is about to end in order.
     pub leaving: bool,
     /// It is out: it routes by other rules than it should, and says so.
-    pub rules: Option<Rules>,
+    pub rules: Option<Box<Rules>>,
     /// How busy it is, in units of the host. It goes with each packet, and a change of it alone is not
     /// passed on.
     pub load: u16,
