--- a/dance/src/cli.rs
+++ b/dance/src/cli.rs
@@ -13,6 +13,8 @@
     pub version: &'static str,
     /// What it is, in a line.
     pub what: &'static str,
+    /// What answers `nodes ADDRESS`, where the program has that.
+    pub nodes: Option<fn(&str) -> eyre::Result<String>>,
 }
 
 /// Runs a program's `main`: `run` without arguments, or what the arguments ask for.
@@ -31,15 +33,19 @@
     mut args: pico_args::Arguments,
     run: fn() -> eyre::Result<()>,
 ) -> eyre::Result<ExitCode> {
-    let About { name, version, what } = about;
+    let About { name, version, what, nodes } = about;
     if args.contains(["-h", "--help"]) {
         println!(
             "{name}: {what}\n\n    \
              {name}               runs by the settings file that LUPINLEDGE_NODE_FILE names\n    \
              {name} check FILE    checks a settings file or a configuration, and names the field at fault\n    \
-             {name} --help\n    \
+             {}{name} --help\n    \
              {name} --version\n\n\
-             While it runs: SIGHUP has the settings read anew, SIGTERM ends it in order."
+             While it runs: SIGHUP has the settings read anew, SIGTERM ends it in order.",
+            match nodes {
+                Some(_) => format!("{name} nodes ADDRESS lists all nodes with the rules they go by\n    "),
+                None => String::new(),
+            }
         );
         return Ok(ExitCode::SUCCESS);
     }
@@ -49,6 +55,11 @@
     }
     let command = args.subcommand()?;
     let file = match command.as_deref() {
+        Some("nodes") if nodes.is_some() => {
+            let at = args.free_from_str::<String>().wrap_err("nodes")?;
+            nodes.iter().try_for_each(|ask| ask(&at).map(|text| print!("{text}")))?;
+            return Ok(ExitCode::SUCCESS);
+        }
         Some("check") => Some(args.free_from_str::<String>().wrap_err("check")?),
         Some(other) => eyre::bail!("`{other}`: no such command; see --help"),
         None => None,
--- a/forager/src/main.rs
+++ b/forager/src/main.rs
@@ -14,5 +14,6 @@
 
 fn main() -> std::process::ExitCode {
     let (name, version) = ("lupinledge-forager", env!("CARGO_PKG_VERSION"));
-    cli::main(About { name, version, what: "the data plane of lupinledge, on the edge machines" }, start::run)
+    let what = "the data plane of lupinledge, on the edge machines";
+    cli::main(About { name, version, what, nodes: None }, start::run)
 }
--- a/hive/src/main.rs
+++ b/hive/src/main.rs
@@ -29,10 +29,8 @@
 
 fn main() -> ExitCode {
     let (name, version) = ("lupinledge-hive", env!("CARGO_PKG_VERSION"));
-    cli::main(
-        About { name, version, what: "the control plane of lupinledge, on the machines of the core" },
-        run,
-    )
+    let what = "the control plane of lupinledge, on the machines of the core";
+    cli::main(About { name, version, what, nodes: Some(nodes::ask) }, run)
 }
 
 fn run() -> eyre::Result<()> {
--- a/hive/src/nodes.rs
+++ b/hive/src/nodes.rs
@@ -1,10 +1,14 @@
 //! What operators are told of the processes and of the rules they have in force.
 
+use eyre::{eyre, WrapErr};
 use lupinledge_propolis::{comparable, Part, Print};
 use lupinledge_sentry::verdict::Judge;
 use lupinledge_waggle::{Digest, Member, Standing};
 use serde_json::{json, Map, Value};
-use std::net::Ipv4Addr;
+use std::fmt::Write as _;
+use std::io::{Read, Write as _};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::time::Duration;
 
 /// Prints by their parts' names.
 pub fn parts(print: &[u64; 5]) -> Value {
@@ -47,3 +51,87 @@
     }
     row
 }
+
+/// Asks a process of the core at its control address, and puts the answer in a table.
+pub fn ask(at: &str) -> eyre::Result<String> {
+    let (addr, wait) = (at.parse::<SocketAddr>().wrap_err("ADDRESS")?, Duration::from_secs(5));
+    let mut to = TcpStream::connect_timeout(&addr, wait).wrap_err_with(|| at.to_string())?;
+    to.set_read_timeout(Some(wait))?;
+    let head = format!("GET /lupinledge/nodes HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n");
+    to.write_all(head.as_bytes())?;
+    let mut text = String::new();
+    to.take(16 << 20).read_to_string(&mut text)?;
+    let body = text.split_once("\r\n\r\n").map(|b| b.1).ok_or_else(|| eyre!("{at}: no answer"))?;
+    let told: Value = serde_json::from_str(body).wrap_err("answer")?;
+    Ok(table(&told))
+}
+
+/// As operators read it.
+pub fn table(told: &Value) -> String {
+    let text = |v: &Value| match v {
+        Value::String(s) => s.clone(),
+        Value::Null => String::new(),
+        other => other.to_string(),
+    };
+    let mut out = format!("index {}", told["index"]);
+    for (part, print) in told["parts"].as_object().into_iter().flatten() {
+        let _ = write!(out, "  {part} {}", text(print));
+    }
+    let names = ["node", "role", "zone", "standing", "ready", "index", "print", "rules"];
+    let head = names.into_iter().chain(["since", "times", "judge", "part", "differing"]).map(str::to_string);
+    let mut rows = vec![head.collect::<Vec<String>>()];
+    for n in told["nodes"].as_array().into_iter().flatten() {
+        let o = &n["out"];
+        let parts = o["differing"].as_array().into_iter().flatten().map(text).collect::<Vec<_>>().join(",");
+        let row = names.iter().map(|f| text(&n[*f]));
+        let row = row.chain(["since", "times", "judge", "part"].map(|f| text(&o[f]))).chain([parts]);
+        rows.push(row.collect());
+    }
+    let width = |i: usize| rows.iter().map(|r| r[i].len()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..rows[0].len()).map(width).collect();
+    for r in &rows {
+        let line = r.iter().zip(&widths).map(|(c, w)| format!("{c:<w$}")).collect::<Vec<_>>().join("  ");
+        let _ = write!(out, "\n{}", line.trim_end());
+    }
+    out + "\n"
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use lupinledge_waggle::{Card, Rules};
+
+    /// A node that does what the document says, one that does not, one that is behind, and one that is out with the
+    /// part that differs.
+    #[test]
+    fn who_goes_by_what() {
+        let intent = Print { routes: 1, tenants: 2, clusters: 3, evacuations: 4, limits: 5 };
+        let own = Digest { state: (3, 7), print: intent.folded(), ..Digest::default() };
+        let member = |node, index, print, rules: Option<Rules>| {
+            let (region, zone, ready) = ("r".to_string(), "z".to_string(), rules.is_none());
+            let (rules, load) = (rules.map(Box::new), 0);
+            let (core, front, control, leaving) = (false, None, None, false);
+            let card = Card { core, region, zone, front, control, ready, leaving, rules, load };
+            let digest = Digest { state: (3, index), print, ..Digest::default() };
+            Member { node, life: 1, card, standing: Standing::Alive, since: 0.0, heard: 9.0, digest }
+        };
+        let mut print = intent.parts();
+        print[1] = 9;
+        let out = Rules { index: 7, print, part: 1, judge: 0, times: 2, since: 50 };
+        let all = [
+            member(1, 7, own.print, None),
+            member(2, 7, own.print ^ 1, None),
+            member(3, 6, own.print, None),
+            member(4, 7, 0, None),
+            member(5, 7, own.print, Some(out)),
+        ];
+        let rows: Vec<Value> = all.iter().map(|m| row(10.0, m, own, intent)).collect();
+        let rules: Vec<_> = rows.iter().map(|r| r["rules"].as_str().unwrap()).collect();
+        assert_eq!(rules, ["matching", "differs", "behind", "untold", "out"]);
+        assert_eq!(rows[4]["out"]["differing"], json!(["tenants"]));
+        let text = table(&json!({"index": 7, "parts": parts(&intent.parts()), "nodes": rows}));
+        let last = text.lines().last().unwrap().split_whitespace().collect::<Vec<_>>();
+        assert_eq!(last[..5], ["0.0.0.5", "edge", "z", "alive", "false"]);
+        assert_eq!(last[8..], ["50", "2", "own", "tenants", "tenants"]);
+    }
+}
