--- a/hive/src/command.rs
+++ b/hive/src/command.rs
@@ -135,6 +135,7 @@
         assert_eq!(asked(&Method::POST, "/lupinledge/evacuation/%f"), Asked::Malformed("zone"));
         assert_eq!(asked(&Method::POST, "/lupinledge/evacuation/%ff"), Asked::Malformed("zone"));
         assert_eq!(asked(&Method::POST, "/lupinledge/evacuation/"), Asked::Nothing);
+        assert_eq!(asked(&Method::GET, "/lupinledge/nodes"), Asked::Nodes);
         assert_eq!(asked(&Method::GET, "/other"), Asked::Nothing);
     }
 
