--- a/comb/src/exchange.rs
+++ b/comb/src/exchange.rs
@@ -667,4 +667,25 @@
             assert_eq!((x.unanswered(), x.terms().frontends[0].effect), (0, Effect::NonReplayable));
         }
     }
+
+    /// What waits is denied and never dispatched, also when a srv is there again; what is out goes on to its answer.
+    #[test]
+    fn turned_away_while_another_is_out() {
+        let x = exchange();
+        x.list(ListKind::Full, vec![entry("a", 1, SrvState::Ready)]);
+        let mut out = take(&x);
+        play(&x);
+        x.list(ListKind::Full, vec![entry("a", 1, SrvState::Draining)]);
+        let mut waits = take(&x);
+        x.turn_away(Span::from_secs(0.2));
+        assert!(matches!(waits.answer.try_recv(), Ok(Answer::Denied(after)) if after.secs() == 0.2));
+        assert_eq!(x.unanswered(), 1);
+        x.list(ListKind::Full, vec![entry("a", 1, SrvState::Ready)]);
+        play(&x);
+        x.ended(1, 0, Back { made: Some("done"), ..Back::bare(Outcome::Passed) });
+        play(&x);
+        assert!(matches!(out.answer.try_recv(), Ok(Answer::Passed("done"))));
+        assert!(x.counters.to_string().contains(" dispatches=1 "), "{}", x.counters);
+        assert!(x.open.borrow().is_empty());
+    }
 }
