--- a/propolis/src/lib.rs
+++ b/propolis/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod check;
 pub mod config;
+mod differ;
 pub mod doc;
 pub mod host;
 pub mod kind;
--- a/propolis/src/tables.rs
+++ b/propolis/src/tables.rs
@@ -5,7 +5,7 @@
 use crate::host::{host_of, without_port};
 use crate::kind::Fault;
 use crate::print::{of_part, Hash, Part, Print};
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Routes, tenants, services, limits and zones of one document.
 #[derive(Clone, Debug, Default)]
@@ -255,47 +255,6 @@
         of_part(self, part)
     }
 
-    /// Names of what differs from other tables, the first few of a part.
-    pub fn differing(&self, other: &Tables, part: Part) -> Vec<String> {
-        let differing = |own: Vec<(String, String)>, others: Vec<(String, String)>| {
-            let one =
-                own.iter().filter(|o| !others.contains(o)).chain(others.iter().filter(|o| !own.contains(o)));
-            let mut names: Vec<String> = one.map(|o| o.0.clone()).collect();
-            names.sort();
-            names.dedup();
-            names.truncate(NAMED);
-            names
-        };
-        let of = |t: &Tables| -> Vec<(String, String)> {
-            match part {
-                Part::Routes => t.hosts.iter().flat_map(|(h, list)| t.routes_of(h, list)).collect(),
-                Part::Tenants => {
-                    let keys =
-                        |i| t.keys.iter().filter(move |k| *k.1 == i).map(|k| k.0).collect::<BTreeSet<_>>();
-                    let rows = t.tenants.iter().enumerate();
-                    rows.map(|(i, x)| (x.name.clone(), format!("{x:?} {:?}", keys(i)))).collect()
-                }
-                Part::Clusters => t.services.iter().map(|s| (s.name.clone(), format!("{s:?}"))).collect(),
-                Part::Evacuations => t.evacuated.iter().map(|z| (z.clone(), String::new())).collect(),
-                Part::Limits => vec![("limits".into(), format!("{:?}", t.limits))],
-            }
-        };
-        differing(of(self), of(other))
-    }
-
-    fn routes_of<'a>(
-        &'a self,
-        host: &'a str,
-        list: &'a [usize],
-    ) -> impl Iterator<Item = (String, String)> + 'a {
-        let service = |i: usize| self.services.get(i).map(|s| s.name.as_str());
-        list.iter().filter_map(|&i| self.routes.get(i)).map(move |r| {
-            let to: Vec<_> = r.services.iter().map(|&(i, w)| (service(i), w)).collect();
-            let bare = Route { services: Vec::new(), ..r.clone() };
-            (r.name.clone(), format!("{host} {to:?} {bare:?}"))
-        })
-    }
-
     pub(crate) fn by_host(&self) -> impl Iterator<Item = (&str, &[usize])> {
         self.hosts.iter().map(|(h, list)| (h.as_str(), list.as_slice()))
     }
@@ -331,9 +290,6 @@
 /// Whether [`Tables::drift`] does anything in this build.
 pub const DRIFTS: bool = cfg!(feature = "drift");
 
-/// So many names tell what differs.
-const NAMED: usize = 8;
-
 fn route(host: &str, rule: config::Rule, by_name: &HashMap<String, usize>) -> Route {
     let action = rule.action;
     let parts: Vec<(String, f64)> = match action.split.is_empty() {
