Invariants that run in the code, metrics of both programs, a line for each failed request

A 502 or 429 of the edge could not be explained afterwards: the shared parts log connections through a facade that both programs of the system leave unread, the edge process counted by outcome but printed it only at its end, and no line named a request. That a promise holds was judged from outside alone.

Change: `invariants/`, a closed list of nine promises that are checked where the code could break them (a request that may run once is sent on only if none of its dispatches may have run; a refusal promises only what has not run; attempts and homes within their limits; the count of unanswered requests; configurations and commits never back; a promise or vote told only once it is on disk; a read not older than an acknowledgement of the same process). A violation is counted and logged and changes nothing else. The harnesses that start the programs in tests fail on any in the logs. `GET /lupinledge/metrics`: at `ready` of the edge, at `control` of the core. `event=request_failed`: id, route, tenant, status and how each dispatch ended, four lines a second of each status, with the number of those not told.

Ruled out: ending the process at a violation (it would turn a doubt into an outage); a line for each refusal without a bound (under overload most requests are refused, and a line costs processor time that is charged).

--- a/comb/src/counters.rs
+++ b/comb/src/counters.rs
@@ -71,8 +71,9 @@
     pub further: RefCell<Vec<(String, u64)>>,
 }
 
-impl fmt::Display for Counters {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+impl Counters {
+    /// Calls `show` with the name and the number of each count, in a fixed order.
+    pub fn each(&self, show: &mut dyn FnMut(&str, u64)) {
         let reqs = [
             ("taken", &self.taken),
             ("malformed", &self.malformed),
@@ -86,18 +87,25 @@
             ("srv_connections", &self.srv_connections),
             ("rounds", &self.rounds),
         ];
-        write!(f, "counters")?;
         for (name, n) in reqs {
-            write!(f, " {name}={}", n.0.get())?;
+            show(name, n.get());
         }
         for (kind, by) in [("dispatch", &self.dispatch), ("counter_call", &self.counter_call)] {
             for (name, n) in OUTCOMES.iter().zip(&by.0) {
-                write!(f, " {kind}.{name}={}", n.0.get())?;
+                show(&format!("{kind}.{name}"), n.get());
             }
         }
         for (name, n) in self.further.borrow().iter() {
-            write!(f, " {name}={n}")?;
+            show(name, *n);
         }
-        Ok(())
+    }
+}
+
+impl fmt::Display for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "counters")?;
+        let mut end = Ok(());
+        self.each(&mut |name, n| end = end.and_then(|()| write!(f, " {name}={n}")));
+        end
     }
 }
--- a/comb/src/exchange.rs
+++ b/comb/src/exchange.rs
@@ -5,8 +5,9 @@
 use crate::counters::Counters;
 use crate::ids::Ids;
 use lupinledge::control::Control;
-use lupinledge::link::{Action, Ended, Event, ListKind, NewReq, Outcome, SrvRow, SrvState, Terms};
+use lupinledge::link::{Action, Effect, Ended, Event, ListKind, NewReq, Outcome, SrvRow, SrvState, Terms};
 use lupinledge::time::{Point, Span};
+use lupinledge_invariants::{check, Invariant};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -108,14 +109,27 @@
     pub row: SrvRow,
 }
 
+/// How one dispatch of a request ended, for the log of a failed request.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// The srv's outside name.
+    pub srv: Rc<str>,
+    /// How it ended.
+    pub how: Outcome,
+    /// From the decision to send it until its end.
+    pub took: Span,
+}
+
 struct Out {
     srv: u32,
     sent: Point,
     stop: Stop,
+    /// Its first byte may have gone to the srv.
+    begun: bool,
 }
 
 struct Open<W: Wire> {
-    answer: Option<oneshot::Sender<Answer<W>>>,
+    answer: Option<oneshot::Sender<Final<W>>>,
     carried: Rc<W::Carried>,
     /// The last srv's own answer that tells of a failure.
     failed: Option<W::Made>,
@@ -123,11 +137,62 @@
     tries: Vec<Option<Out>>,
     /// A first byte of it went to a srv.
     begun: bool,
+    /// The dispatches that have ended.
+    attempts: Vec<Attempt>,
+    promises: Promises,
+}
+
+/// What has to hold for one request, whatever the decisions say; see [`Invariant`].
+struct Promises {
+    /// It may run once at most.
+    once: bool,
+    /// An ended dispatch may have run.
+    may_have_run: bool,
+    /// Srvs to which a first byte of it went.
+    servers: Vec<u32>,
+    /// The largest number of these that is allowed.
+    most: u32,
+    /// The zones whose srvs may have it, a bit each.
+    zones: u64,
+}
+
+impl Promises {
+    fn of(req: &NewReq, terms: &Terms) -> Promises {
+        let frontend = terms.frontends.get(req.frontend);
+        Promises {
+            once: frontend.is_some_and(|f| f.effect == Effect::NonReplayable),
+            may_have_run: false,
+            servers: Vec::new(),
+            most: frontend.map_or(u32::MAX, |f| f.max_dispatches),
+            zones: req.zones,
+        }
+    }
+
+    /// A dispatch to a srv in this zone is about to begin; `other_begun`: another one has, and has not ended.
+    fn begin(&mut self, srv: u32, zone: u16, other_begun: bool) {
+        if !self.servers.contains(&srv) {
+            self.servers.push(srv);
+        }
+        let ran = self.may_have_run || other_begun;
+        check(Invariant::RunOnce, !(self.once && ran), || {
+            format!("srv {srv}, {} before", self.servers.len())
+        });
+        let most = self.most as usize;
+        check(Invariant::AttemptLimit, self.servers.len() <= most, || format!("srv {srv}, {most} allowed"));
+        let home = self.zones == u64::MAX || zone >= 64 || self.zones >> zone & 1 == 1;
+        check(Invariant::HomeZone, home, || format!("zone {zone}, homes {:b}", self.zones));
+    }
+}
+
+/// Whether a dispatch that ended so may have run.
+fn may_have_run(how: Outcome) -> bool {
+    !matches!(how, Outcome::Full | Outcome::NoConnection | Outcome::NotSent)
 }
 
 struct Srv {
     name: Rc<str>,
     addr: SocketAddr,
+    zone: u16,
     takes_new: bool,
     listed: bool,
     /// Its start as far as the list or its address tells.
@@ -156,7 +221,9 @@
         let name: Rc<str> = e.name.as_str().into();
         self.by_name.insert(name.clone(), self.given);
         let (addr, born) = (e.addr, Some(now).filter(|_| follows));
-        self.by_index.insert(self.given, Srv { name, addr, takes_new: false, listed: false, born, out: 0 });
+        let zone = e.row.zone;
+        let srv = Srv { name, addr, zone, takes_new: false, listed: false, born, out: 0 };
+        self.by_index.insert(self.given, srv);
         self.given
     }
     fn forget_gone(&mut self) {
@@ -210,13 +277,25 @@
 pub struct Ticket<W: Wire> {
     id: u64,
     exchange: Rc<Exchange<W>>,
-    answer: oneshot::Receiver<Answer<W>>,
+    answer: oneshot::Receiver<Final<W>>,
 }
 
+/// The final answer, and the dispatches that had ended by then.
+type Final<W> = (Answer<W>, Vec<Attempt>);
+
 impl<W: Wire> Ticket<W> {
     /// Waits for the final answer.
     pub async fn answer(mut self) -> Answer<W> {
-        (&mut self.answer).await.unwrap_or(Answer::Aborted)
+        self.with_attempts().await.0
+    }
+
+    /// Waits for the final answer; with it, how each dispatch that had ended by then did so.
+    pub async fn answer_with_attempts(mut self) -> (Answer<W>, Vec<Attempt>) {
+        self.with_attempts().await
+    }
+
+    async fn with_attempts(&mut self) -> Final<W> {
+        (&mut self.answer).await.unwrap_or((Answer::Aborted, Vec::new()))
     }
 }
 
@@ -298,8 +377,17 @@
         self.unanswered.set(self.unanswered.get() + 1);
         let (answer, wait) = oneshot::channel();
         let ends = self.clock.now() + req.left;
-        let (answer, carried) = (Some(answer), Rc::new(carried));
-        let open = Open { answer, carried, failed: None, ends, tries: Vec::new(), begun: false };
+        let promises = Promises::of(&req, &self.terms.borrow());
+        let open = Open {
+            answer: Some(answer),
+            carried: Rc::new(carried),
+            failed: None,
+            ends,
+            tries: Vec::new(),
+            begun: false,
+            attempts: Vec::new(),
+            promises,
+        };
         self.open.borrow_mut().insert(id, open);
         self.tell(Event::Req(req));
         Ticket { id, exchange: self.clone(), answer: wait }
@@ -316,7 +404,9 @@
     }
 
     fn settled(&self) {
-        self.unanswered.set(self.unanswered.get() - 1);
+        let unanswered = self.unanswered.get();
+        check(Invariant::UnansweredCount, unanswered > 0, || "below zero".into());
+        self.unanswered.set(unanswered.saturating_sub(1));
         self.answered.notify_waiters();
     }
 
@@ -328,13 +418,22 @@
     }
 
     fn answer(&self, id: u64, answer: Answer<W>) {
-        let Some(to) = self.open.borrow_mut().get_mut(&id).and_then(|o| o.answer.take()) else { return };
+        let mut open = self.open.borrow_mut();
+        let Some(o) = open.get_mut(&id) else { return };
+        let Some(to) = o.answer.take() else { return };
+        if matches!(answer, Answer::Denied(_)) {
+            let may_run = o.promises.may_have_run || o.tries.iter().flatten().any(|t| t.begun);
+            let detail = || format!("{:?}", o.attempts);
+            check(Invariant::RefusedNotRun, !(o.promises.once && may_run), detail);
+        }
+        let attempts = std::mem::take(&mut o.attempts);
+        drop(open);
         match answer {
             Answer::Passed(_) => self.counters.passed.up(),
             Answer::Denied(_) => self.counters.denied.up(),
             Answer::Failed(_) | Answer::Aborted => self.counters.aborted.up(),
         }
-        let _ = to.send(answer);
+        let _ = to.send((answer, attempts));
         self.settled();
     }
 
@@ -352,13 +451,21 @@
     /// Asked before a dispatch's first byte, which may come long after it was sent for: a connection has to
     /// come up first, and meanwhile the req may have ended or its srv begun to drain.
     pub fn may_begin(&self, d: &Dispatch<W>) -> bool {
-        let asked = self.open.borrow().get(&d.req).is_some_and(|o| o.answer.is_some());
-        let takes_new = self.srvs.borrow().by_index.get(&d.srv).is_some_and(|s| s.takes_new);
-        let may = asked && takes_new && self.clock.now() < d.until;
-        if may {
-            self.open.borrow_mut().get_mut(&d.req).into_iter().for_each(|o| o.begun = true);
+        let mut open = self.open.borrow_mut();
+        let Some(o) = open.get_mut(&d.req).filter(|o| o.answer.is_some()) else { return false };
+        let srvs = self.srvs.borrow();
+        let Some(srv) = srvs.by_index.get(&d.srv).filter(|s| s.takes_new) else { return false };
+        if self.clock.now() >= d.until {
+            return false;
+        }
+        let others = o.tries.iter().enumerate().filter(|(nth, _)| *nth != usize::from(d.nth));
+        let other_begun = others.filter_map(|(_, t)| t.as_ref()).any(|t| t.begun);
+        o.promises.begin(d.srv, srv.zone, other_begun);
+        o.begun = true;
+        if let Some(Some(out)) = o.tries.get_mut(usize::from(d.nth)) {
+            out.begun = true;
         }
-        may
+        true
     }
 
     /// Denies each req of which nothing went to a srv, and nothing is about to; none of these is dispatched any more.
@@ -381,6 +488,7 @@
     pub fn ended(&self, req: u64, nth: u16, back: Back<W>) {
         let out = self.open.borrow_mut().get_mut(&req).and_then(|o| o.tries.get_mut(nth as usize)?.take());
         let Some(out) = out else { return };
+        self.note_attempt(req, &out, back.how);
         self.srvs.borrow_mut().back(out.srv);
         self.counters.dispatch.up(back.how);
         match back.made {
@@ -399,6 +507,17 @@
         self.done.borrow_mut().push(req);
     }
 
+    /// Keeps what a dispatch that has ended tells of its request.
+    fn note_attempt(&self, req: u64, out: &Out, how: Outcome) {
+        let srv = self.srvs.borrow().by_index.get(&out.srv).map_or_else(|| "gone".into(), |s| s.name.clone());
+        let took = self.clock.now() - out.sent;
+        if let Some(o) = self.open.borrow_mut().get_mut(&req) {
+            let begun = how != Outcome::Cancelled || out.begun;
+            o.promises.may_have_run |= begun && may_have_run(how);
+            o.attempts.push(Attempt { srv, how, took });
+        }
+    }
+
     /// The end of a counter's call, from the counter side: with `Passed` the name's new total.
     pub fn counted(&self, name: u64, total: f64, how: Outcome) {
         self.counters.counter_call.up(how);
@@ -419,7 +538,7 @@
                 if s.addr != e.addr {
                     stale.push(i);
                 }
-                (s.addr, s.born) = (e.addr, e.row.born.or(s.born));
+                (s.addr, s.born, s.zone) = (e.addr, e.row.born.or(s.born), e.row.zone);
                 (s.takes_new, s.listed) = (e.row.state == SrvState::Ready, e.row.state != SrvState::Gone);
                 rows.push(SrvRow { srv: i, born: s.born, ..e.row });
             }
@@ -518,7 +637,7 @@
         let nth = o.tries.len() as u16;
         let until = if limit == Span::ZERO { o.ends } else { o.ends.min(now + limit) };
         let (carried, asked) = (o.carried.clone(), o.answer.is_some());
-        o.tries.push(Some(Out { srv, sent: now, stop: Box::new(|| {}) }));
+        o.tries.push(Some(Out { srv, sent: now, stop: Box::new(|| {}), begun: false }));
         drop(open);
         // each dispatch has its end, also one to a srv that is gone or for a req that is over
         let (Some((name, addr)), Some(server), true) = (to, server, asked) else {
@@ -535,6 +654,7 @@
     fn cancel(&self, id: u64, nth: u16) {
         let out = self.open.borrow_mut().get_mut(&id).and_then(|o| o.tries.get_mut(nth as usize)?.take());
         let Some(out) = out else { return };
+        self.note_attempt(id, &out, Outcome::Cancelled);
         (out.stop)();
         self.srvs.borrow_mut().back(out.srv);
         self.counters.dispatch.up(Outcome::Cancelled);
@@ -660,8 +780,8 @@
             x.ended(1, 0, Back { made: told, ..Back::bare(Outcome::Error) });
             play(&x);
             match ticket.answer.try_recv() {
-                Ok(Answer::Failed(made)) => assert_eq!(Some(made), told),
-                Ok(Answer::Aborted) => assert_eq!(None, told),
+                Ok((Answer::Failed(made), _)) => assert_eq!(Some(made), told),
+                Ok((Answer::Aborted, _)) => assert_eq!(None, told),
                 _ => panic!("passed, denied or not answered"),
             }
             assert_eq!((x.unanswered(), x.terms().frontends[0].effect), (0, Effect::NonReplayable));
@@ -678,13 +798,13 @@
         x.list(ListKind::Full, vec![entry("a", 1, SrvState::Draining)]);
         let mut waits = take(&x);
         x.turn_away(Span::from_secs(0.2));
-        assert!(matches!(waits.answer.try_recv(), Ok(Answer::Denied(after)) if after.secs() == 0.2));
+        assert!(matches!(waits.answer.try_recv(), Ok((Answer::Denied(after), _)) if after.secs() == 0.2));
         assert_eq!(x.unanswered(), 1);
         x.list(ListKind::Full, vec![entry("a", 1, SrvState::Ready)]);
         play(&x);
         x.ended(1, 0, Back { made: Some("done"), ..Back::bare(Outcome::Passed) });
         play(&x);
-        assert!(matches!(out.answer.try_recv(), Ok(Answer::Passed("done"))));
+        assert!(matches!(out.answer.try_recv(), Ok((Answer::Passed("done"), _))));
         assert!(x.counters.to_string().contains(" dispatches=1 "), "{}", x.counters);
         assert!(x.open.borrow().is_empty());
     }
--- a/dance/src/lib.rs
+++ b/dance/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod cli;
 pub mod log;
+pub mod metrics;
 pub mod settings;
 
 use lupinledge_propolis::Settings;
@@ -131,6 +132,19 @@
         self.spread.borrow().sent()
     }
 
+    /// Figures of the messages between own processes.
+    pub fn figures(&self, line: &mut metrics::Line) {
+        let counts = self.post.counts();
+        line("messages.sent", counts.sent.get());
+        line("messages.cast", counts.cast.get());
+        line("messages.heard", counts.heard.get());
+        line("messages.dropped", counts.dropped.get());
+        line("messages.unreadable", counts.unreadable.get());
+        line("messages.links", counts.links.get());
+        line("messages.waiting_bytes", self.post.pending() as u64);
+        line("news.sent_bytes", self.news_sent());
+    }
+
     /// Tells of this process itself from now on.
     pub fn set_card(&self, change: impl FnOnce(&mut Card)) {
         if self.spread.borrow_mut().set_card(change) {
--- a/forager/src/door.rs
+++ b/forager/src/door.rs
@@ -1,6 +1,7 @@
 //! What clients are answered: a request is read, its route and tenant are looked up in the tables in force, and it
 //! goes to its service's pool. Here is no decision: what is not proper is refused, the rest is the pools'.
 
+use crate::failures::{Failure, Failures};
 use crate::pools::Pools;
 use crate::wire::{Carried, Made, ATTEMPT, DEADLINE};
 use hyper::body::Incoming;
@@ -37,6 +38,7 @@
     pools: Rc<Pools>,
     /// Those that may have run.
     ids: RefCell<Ids>,
+    failures: Failures,
     rng: RefCell<fastrand::Rng>,
     /// Bytes of bodies that may still come in.
     room: Cell<i64>,
@@ -51,7 +53,7 @@
         let room = (memory_mb * 1e6 * BODIES) as i64;
         let (rng, room, closing) =
             (RefCell::new(fastrand::Rng::with_seed(seed)), Cell::new(room), Cell::new(false));
-        Rc::new(Door { pools, ids: RefCell::default(), rng, room, closing })
+        Rc::new(Door { pools, ids: RefCell::default(), failures: Failures::default(), rng, room, closing })
     }
 
     async fn read(&self, req: Request<Incoming>, heads: &Heads, by: Instant) -> Result<Reply, Refusal> {
@@ -121,18 +123,32 @@
             return Err(refuse(StatusCode::CONFLICT, "Lupinledge-Attempt-Id: had before"));
         }
         let named = tenant.and_then(|t| HeaderValue::from_str(&t.name).ok());
+        let attempt_id = head.headers.get(&ATTEMPT).cloned();
         let carried = Carried::new(head.method, head.uri, std::mem::take(&mut head.headers), named, body);
-        let answer = pool.take(new, carried).answer().await;
+        let (answer, attempts) = pool.take(new, carried).answer_with_attempts().await;
         if let (Answer::Denied(_), Some(id)) = (&answer, &id) {
             self.ids.borrow_mut().forget(id);
         }
-        Ok(match answer {
+        let reply = match answer {
             Answer::Passed(made) | Answer::Failed(made) => passed(made),
             // not sent, see `Pools::shut`
             Answer::Denied(after) if self.pools.shut().0.is_some() => away(after.secs()),
             Answer::Denied(after) => retry(StatusCode::TOO_MANY_REQUESTS, after.secs()),
             Answer::Aborted => bare(StatusCode::BAD_GATEWAY),
-        })
+        };
+        if reply.status().is_server_error() || reply.status() == StatusCode::TOO_MANY_REQUESTS {
+            let now = self.pools.clock.now();
+            let failure = Failure {
+                status: reply.status(),
+                id: attempt_id.as_ref().map_or(&[], |id| id.as_bytes()),
+                route: &route.name,
+                tenant: tenant.map_or("", |t| &t.name),
+                took: now - came,
+                attempts: &attempts,
+            };
+            self.failures.tell(now, &failure);
+        }
+        Ok(reply)
     }
 
     fn room(&self, bytes: u64) -> Result<Room<'_>, Refusal> {
--- a/forager/src/main.rs
+++ b/forager/src/main.rs
@@ -1,8 +1,10 @@
 //! The data plane of the system: takes clients' requests on an edge machine and passes them to servers.
 
 mod door;
+mod failures;
 mod guard;
 mod ledger;
+mod metrics;
 mod nest;
 mod pools;
 mod ready;
--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -2,7 +2,9 @@
 
 use crate::ledger::Ledger;
 use crate::pools::Pools;
+use lupinledge_dance::metrics::Line;
 use lupinledge_dance::{seeds_of, Dance, Host, News};
+use lupinledge_invariants::{check, Invariant};
 use lupinledge_propolis::{Config, Document, Settings, Tables};
 use lupinledge_waggle::{Member, Standing};
 use lupinledge_wax::clock::{Asked, Estimate};
@@ -149,6 +151,14 @@
         }
     }
 
+    /// Figures of what is held and of the messages between own processes.
+    pub fn figures(&self, line: &mut Line) {
+        line("document.serial", self.serial.get());
+        line("counters.epoch", self.dance.held(|h| h.epoch().0));
+        line("gateways", self.dance.edges(LATELY) as u64);
+        self.dance.figures(line);
+    }
+
     /// What was read of the document in force.
     pub fn config(&self) -> Option<Rc<Config>> {
         self.config.borrow().clone()
@@ -186,6 +196,10 @@
         match self.built(bytes) {
             Ok((d, _)) if d.serial <= self.serial.get() => {}
             Ok((d, tables)) => {
+                let (old, new) = (pools.tables().version(), tables.version());
+                // serial 0: the tables in force are in doubt, and any others are better
+                let forward = self.serial.get() == 0 || new >= old;
+                check(Invariant::ConfigurationForward, forward, || format!("version {new} after {old}"));
                 self.serial.set(d.serial);
                 tracing::info!(event = "follow", serial = d.serial, version = tables.version());
                 *self.kept.borrow_mut() = Some(bytes.clone());
--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -11,6 +11,7 @@
 use lupinledge_comb::exchange::{Entry, Exchange};
 use lupinledge_comb::srvs::{SrvBounds, Srvs};
 use lupinledge_comb::transport::descriptors::Share;
+use lupinledge_dance::metrics::Line;
 use lupinledge_propolis::{Part, Route, Settings, Tables, Tenant};
 use lupinledge_wax::list::{List, Row};
 use std::cell::{Cell, RefCell};
@@ -163,6 +164,20 @@
         Rc::make_mut(&mut self.wanted.borrow_mut().tables).drift(how);
     }
 
+    /// Figures of requests, servers and rules.
+    pub fn figures(&self, line: &mut Line) {
+        let w = self.wanted.borrow();
+        line("configuration.version", w.tables.version());
+        line("servers.list_epoch", w.list.number.0);
+        line("servers.list_number", w.list.number.1);
+        line("servers.listed", w.list.rows.len() as u64);
+        line("rules.in_doubt", u64::from(self.shut.get().is_some()));
+        line("rules.doubted", self.shuts.get());
+        drop(w);
+        line("requests.unanswered", self.unanswered() as u64);
+        self.counters.each(line);
+    }
+
     /// Requests without an answer.
     pub fn unanswered(&self) -> usize {
         let w = self.wanted.borrow();
--- a/forager/src/start.rs
+++ b/forager/src/start.rs
@@ -3,6 +3,7 @@
 use crate::door::{Door, Early};
 use crate::guard::Guard;
 use crate::ledger::Ledger;
+use crate::metrics::Metrics;
 use crate::nest::Nest;
 use crate::pools::Pools;
 use crate::ready::Ready;
@@ -81,9 +82,6 @@
     let ready_places = Share::of(16);
     let ready_gate = open("ready", told.listen.ready, &ready_places)?;
     let counters: Rc<lupinledge_comb::counters::Counters> = Rc::default();
-    let ready_side =
-        Clients::start(Rc::new(Ready(ready.clone())), counters.clone(), bounds(3.0, 15.0, 8 << 10));
-    tokio::task::spawn_local(async move { accept(&ready_gate, &ready_side, &ready_places).await });
 
     let card = Card {
         core: false,
@@ -99,6 +97,10 @@
     let dance = Dance::open(&told, card, true).wrap_err("`port_range`")?;
     let ledger = Ledger::start(dance.post().clone(), (seed / 1000) as u16 ^ (seed >> 32) as u16);
     let nest = Nest::new(told.clone(), dance.clone(), ledger.clone());
+    let metrics = Metrics::new(nest.clone());
+    let ready_answers = Rc::new(Ready { flag: ready.clone(), metrics: metrics.clone() });
+    let ready_side = Clients::start(ready_answers, counters.clone(), bounds(3.0, 15.0, 8 << 10));
+    tokio::task::spawn_local(async move { accept(&ready_gate, &ready_side, &ready_places).await });
     tokio::task::spawn_local(dance.clone().run());
     let (follows, drifts) = (nest.clone(), path.with_extension("drift"));
     // from the start on: other seeds may be what it takes to get ready
@@ -134,6 +136,7 @@
         tracing::info!(event = "ended", taken = 0);
         return Ok(());
     };
+    metrics.show(pools.clone());
     let door = Door::new(pools.clone(), told.limits.memory_mb, seed);
     let clients = Clients::start(door, pools.counters.clone(), bounds(3.0, 15.0, 16 << 10));
     ready.set(true);
--- a/forager/tests/rules/fleet.rs
+++ b/forager/tests/rules/fleet.rs
@@ -291,8 +291,11 @@
     fn drop(&mut self) {
         let _ = (self.child.kill(), self.child.wait(), std::fs::remove_file(&self.path));
         let _ = std::fs::remove_file(self.path.with_extension("drift"));
+        let log = self.log.lock().map(|log| log.clone()).unwrap_or_default();
         if std::thread::panicking() {
-            eprintln!("{}", self.log.lock().unwrap());
+            eprintln!("{log}");
+        } else {
+            assert!(!log.contains("event=invariant_violated"), "{log}");
         }
     }
 }
--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -1,6 +1,7 @@
 //! Drives the agreement of the core: carries its words, its saves and its outcomes.
 
 use crate::clock::Clock;
+use lupinledge_invariants::{check, Invariant};
 use lupinledge_propolis::Document;
 use lupinledge_queen::{Ballot, Kept, Msg, Node, Out, Outcome, Queen, Settings};
 use lupinledge_skep::{Found, Saved, Store};
@@ -194,6 +195,10 @@
         }
         match Agreed::read(ballot, body) {
             Ok(agreed) => {
+                let old = self.agreed.borrow().as_ref().map_or((0, 0), |a| order(&a.document));
+                let new = order(&agreed.document);
+                let forward = new.0 >= old.0 && new.1 >= old.1;
+                check(Invariant::CommitForward, forward, || format!("{new:?} after {old:?}"));
                 *self.agreed.borrow_mut() = Some(Rc::new(agreed));
                 true
             }
@@ -312,6 +317,11 @@
     }
 }
 
+/// Neither of these ever goes back.
+fn order(document: &Document) -> (u64, u64) {
+    (document.version, document.serial)
+}
+
 /// What is said again and again: a datagram is enough, and a link that hangs must not hold it up.
 fn heartbeat(msg: &Msg) -> bool {
     matches!(
--- a/hive/src/command.rs
+++ b/hive/src/command.rs
@@ -67,6 +67,7 @@
     Ready(Command),
     Resolve,
     Nodes,
+    Metrics,
     NoSuchMethod(&'static str),
     Malformed(&'static str),
     Nothing,
@@ -81,6 +82,8 @@
         "/lupinledge/resolve" => Asked::NoSuchMethod("GET"),
         "/lupinledge/nodes" if method == Method::GET => Asked::Nodes,
         "/lupinledge/nodes" => Asked::NoSuchMethod("GET"),
+        "/lupinledge/metrics" if method == Method::GET => Asked::Metrics,
+        "/lupinledge/metrics" => Asked::NoSuchMethod("GET"),
         "/lupinledge/config" => match *method {
             Method::PUT => Asked::Put,
             Method::GET => Asked::Ready(Command::GetConfig),
--- a/hive/src/control.rs
+++ b/hive/src/control.rs
@@ -160,6 +160,7 @@
         let command = match asked(&head.method, path) {
             Asked::Resolve => return self.resolve(head.uri.query().unwrap_or_default()),
             Asked::Nodes => return json(StatusCode::OK, self.hive.nodes()),
+            Asked::Metrics => return Response::new(Full::from(self.hive.metrics())),
             Asked::Ready(command) => command,
             Asked::Put => match self.whole(body).await {
                 Ok(body) => Command::PutConfig { body },
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -8,7 +8,7 @@
 use crate::directory::Directory;
 use crate::nodes;
 use eyre::{eyre, WrapErr};
-use lupinledge_dance::{seeds_of, Dance, Host, News, Source};
+use lupinledge_dance::{metrics, seeds_of, Dance, Host, News, Source};
 use lupinledge_propolis::settings::CloudApi;
 use lupinledge_propolis::turns::{Caller, Turns};
 use lupinledge_propolis::{Document, Homes, Print, Settings, Tables};
@@ -37,6 +37,8 @@
     pub agree: Rc<Agree>,
     pub brood: Rc<Brood>,
     pub leaving: Cell<bool>,
+    /// The newest version that was acknowledged from here.
+    pub acknowledged: Cell<u64>,
     /// Index and prints of the document that is held.
     intent: Cell<(u64, Print)>,
     /// Changes that wait or run, and who waits for them.
@@ -91,6 +93,7 @@
             agree: agree.clone(),
             brood,
             leaving: Cell::new(false),
+            acknowledged: Cell::new(0),
             intent: Cell::default(),
             turns: RefCell::default(),
             callers: RefCell::default(),
@@ -159,6 +162,29 @@
         serde_json::json!({"index": index, "parts": parts, "holder": holder, "nodes": nodes})
     }
 
+    /// The figures of this process as text.
+    pub fn metrics(&self) -> String {
+        let (agreed, list) = (self.agree.agreed(), self.brood.list());
+        let (ballot, version, serial) =
+            agreed.map_or_else(Default::default, |a| (a.ballot, a.document.version, a.document.serial));
+        metrics::text(|line| {
+            line("configuration.version", version);
+            line("configuration.acknowledged", self.acknowledged.get());
+            line("document.serial", serial);
+            line("document.epoch", ballot.epoch);
+            line("document.index", ballot.index);
+            line("core.leads", u64::from(self.agree.leads().is_some()));
+            line("core.member", u64::from(self.agree.member()));
+            line("core.members", self.agree.members().len() as u64);
+            line("changes.callers", self.callers.borrow().len() as u64);
+            line("servers.list_epoch", list.number.0);
+            line("servers.list_number", list.number.1);
+            line("servers.listed", list.rows.len() as u64);
+            line("servers.unreadable", self.brood.unreadable.get());
+            self.dance.figures(line);
+        })
+    }
+
     /// Whom others name as the holder where this process is cut off from it: of no earlier epoch than it knows, and alive.
     pub fn told_holder(&self) -> Option<Node> {
         let (epoch, node) = self.dance.held(|h| h.epoch());
--- a/hive/src/run.rs
+++ b/hive/src/run.rs
@@ -3,6 +3,7 @@
 use crate::agree::Agreed;
 use crate::command::{Command, Reply};
 use crate::hive::Hive;
+use lupinledge_invariants::{check, Invariant};
 use lupinledge_propolis::turns::Caller;
 use lupinledge_propolis::{Answer, Document, Judged, Kind};
 use lupinledge_queen::Outcome;
@@ -145,6 +146,13 @@
     /// Says an answer once the whole stands by it.
     async fn confirm(&self, command: &Command, agreed: Rc<Agreed>, epoch: u64, answer: Answer) -> Reply {
         let confirmed = self.agree.confirm().await && self.agree.leads() == Some(epoch);
+        if confirmed && *command == Command::GetConfig {
+            let (newest, read) =
+                (self.acknowledged.get(), self.agree.agreed().map_or(0, |a| a.document.version));
+            check(Invariant::ReadNotOlder, read >= newest, || {
+                format!("version {read}, {newest} acknowledged")
+            });
+        }
         match self.agree.agreed().filter(|_| confirmed) {
             Some(now) if now.ballot == agreed.ballot => answer.into(),
             // what is committed by now holds all that was acknowledged before
@@ -163,6 +171,7 @@
             Some(Outcome::Committed(ballot)) => {
                 let (version, serial) = (document.version, document.serial);
                 tracing::info!(event = "taken", version, serial, epoch = ballot.epoch, index = ballot.index);
+                self.acknowledged.set(self.acknowledged.get().max(version));
                 if matches!(command, Command::Restore { .. }) {
                     self.brood.hurry();
                 }
--- a/hive/tests/common/mod.rs
+++ b/hive/tests/common/mod.rs
@@ -56,6 +56,9 @@
 impl Drop for Members {
     fn drop(&mut self) {
         (0..4).for_each(|i| self.kill(i));
+        let logs = (0..4).filter_map(|i| fs::read_to_string(self.log(i)).ok());
+        let violated = logs.filter(|log| log.contains("event=invariant_violated")).collect::<String>();
+        assert!(violated.is_empty() || std::thread::panicking(), "{violated}");
         let _ = fs::remove_dir_all(&self.dir);
     }
 }
--- a/queen/src/disk.rs
+++ b/queen/src/disk.rs
@@ -1,6 +1,7 @@
 //! What must be saved, what was, and the answers that wait for it.
 
 use crate::{Kept, Msg, Node, Out};
+use lupinledge_invariants::{check, Invariant};
 use std::collections::VecDeque;
 use std::mem::discriminant;
 
@@ -35,6 +36,7 @@
     /// Sends an answer that depends on the present state, once that is saved.
     pub(crate) fn tell(&mut self, to: Node, msg: Msg, out: &mut Vec<Out>) {
         if self.safe_version == self.version {
+            self.check_durable(&msg);
             return out.push(Out::Send(to, msg));
         }
         if self.waiting.iter().any(|(_, node, waits)| *node == to && *waits == msg) {
@@ -77,12 +79,24 @@
         self.since = None;
         while self.waiting.front().is_some_and(|(needs, ..)| *needs <= version) {
             if let Some((_, to, msg)) = self.waiting.pop_front() {
+                self.check_durable(&msg);
                 out.push(Out::Send(to, msg));
             }
         }
         true
     }
 
+    /// What is told of the state has to be on disk by now.
+    fn check_durable(&self, msg: &Msg) {
+        let safe = match msg {
+            Msg::Promise { epoch, .. } => self.safe.promised >= *epoch,
+            Msg::Accepted { ballot, .. } => self.safe.ballot >= *ballot,
+            _ => true,
+        };
+        let detail = || format!("on disk {:?} {:?}", self.safe.promised, self.safe.ballot);
+        check(Invariant::DurableBeforeTold, safe, detail);
+    }
+
     /// How long the save under way takes by now; 0 if none is due.
     pub(crate) fn behind(&self, now: f64) -> f64 {
         self.since.map_or(0.0, |since| now - since)
