A soak test: the real programs on loopback under overlapping random faults

The scale run and the tests of single programs start real processes, but none plays them whole under kills, freezes, cuts, lost disks and lost answers at once; the model does, without sockets, hyper or disks.

Change: `soak/`. Three members of the core, three edge processes, emulated servers (lost, cut and surplus answers, hangs, crashes, replacements), clients that keep to the protocol beside some that don't, an operator (changes, two at once, the same again, invalid ones, evacuations, reads) and a fault injector with 18 kinds of trouble of which several overlap, with calm spells between, and a closing fault with or without a lost disk. The verdict is by what was seen outside, and by invariants, panics, own ends and leaks. Own processes can be cut off from each other through a file that only builds with the feature `cuts` of `wax` read; no deployed build has it, and nothing needs more than a user's rights. `soak/tests/short.rs` plays three seeds of 8 s in the workspace's tests and judges what has no bound in time.

--- /dev/null
+++ b/soak/src/faults.rs
@@ -0,0 +1,300 @@
+//! The fault injector: troubles of all kinds at random, several at a time, with calm spells between.
+
+use crate::checks::Scope;
+use crate::cluster::{Cluster, Signal, CORES, EDGES};
+use crate::configuration::bounds;
+use crate::platform::Platform;
+use crate::record::{Process, Record};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, JoinHandle};
+use std::time::{Duration, Instant};
+
+/// Troubles follow each other within a spell after so many milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 150..1100;
+/// Spells of trouble and of calm, in seconds.
+const SPELL: std::ops::Range<u64> = 4..9;
+const CALM: std::ops::Range<u64> = 4..8;
+
+/// A kind of trouble.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    KillEdge,
+    FreezeEdge,
+    RestartEdge,
+    ReloadEdge,
+    ReloadCore,
+    KillCore,
+    KillCores,
+    KillAll,
+    FreezeCore,
+    RestartCore,
+    WipeCore,
+    CutEdge,
+    CutCore,
+    CutServices,
+    CrashServer,
+    ReplaceServer,
+    ResetServer,
+    SilencePlatform,
+}
+
+const KINDS: [Kind; 18] = [
+    Kind::KillEdge,
+    Kind::FreezeEdge,
+    Kind::RestartEdge,
+    Kind::ReloadEdge,
+    Kind::ReloadCore,
+    Kind::KillCore,
+    Kind::KillCores,
+    Kind::KillAll,
+    Kind::FreezeCore,
+    Kind::RestartCore,
+    Kind::WipeCore,
+    Kind::CutEdge,
+    Kind::CutCore,
+    Kind::CutServices,
+    Kind::CrashServer,
+    Kind::ReplaceServer,
+    Kind::ResetServer,
+    Kind::SilencePlatform,
+];
+
+/// See the module.
+pub struct Injector {
+    pub record: Arc<Record>,
+    pub cluster: Arc<Cluster>,
+    pub platform: Arc<Platform>,
+    pub stop: AtomicBool,
+    pub seed: u64,
+    /// Whether a bound in time is judged.
+    timed: bool,
+    /// One trouble at a time starts, stops or freezes a process: none of these makes sense on another's remains.
+    busy: Mutex<Vec<Process>>,
+    cuts: Mutex<Vec<(Process, Process)>>,
+}
+
+/// Marks a process as in another trouble's hands until dropped.
+struct Claim<'a>(&'a Injector, Process);
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        self.0.busy.lock().unwrap_or_else(|p| p.into_inner()).retain(|process| *process != self.1);
+    }
+}
+
+impl Injector {
+    /// With no trouble yet.
+    pub fn new(
+        record: Arc<Record>,
+        cluster: Arc<Cluster>,
+        platform: Arc<Platform>,
+        seed: u64,
+        scope: Scope,
+    ) -> Arc<Injector> {
+        let (busy, cuts) = Default::default();
+        Arc::new(Injector {
+            record,
+            cluster,
+            platform,
+            stop: AtomicBool::new(false),
+            seed,
+            timed: scope == Scope::All,
+            busy,
+            cuts,
+        })
+    }
+
+    fn claim(&self, process: Process) -> Option<Claim<'_>> {
+        let mut busy = self.busy.lock().unwrap_or_else(|p| p.into_inner());
+        if busy.contains(&process) {
+            return None;
+        }
+        busy.push(process);
+        Some(Claim(self, process))
+    }
+
+    /// Makes trouble until the run stops; ends when all of it is over.
+    pub fn act(self: &Arc<Injector>) {
+        let mut rng = fastrand::Rng::with_seed(self.seed ^ 0xfa17);
+        let mut running: Vec<JoinHandle<()>> = Vec::new();
+        while !self.stop.load(Ordering::SeqCst) {
+            let spell = Instant::now() + Duration::from_secs(rng.u64(SPELL));
+            while Instant::now() < spell && !self.stop.load(Ordering::SeqCst) {
+                let (kind, seed, me) = (KINDS[rng.usize(0..KINDS.len())], rng.u64(..), self.clone());
+                running
+                    .push(std::thread::spawn(move || me.trouble(kind, &mut fastrand::Rng::with_seed(seed))));
+                sleep(Duration::from_millis(rng.u64(PAUSE_MS)));
+            }
+            running.drain(..).for_each(|trouble| drop(trouble.join()));
+            let calm = Instant::now() + Duration::from_secs(rng.u64(CALM));
+            while Instant::now() < calm && !self.stop.load(Ordering::SeqCst) {
+                self.cluster.look_for_own_ends();
+                sleep(Duration::from_millis(50));
+            }
+        }
+    }
+
+    fn note(&self, what: &str, process: Process, planned: bool) -> usize {
+        self.record.trouble(format!("{what} {process:?}"), Some(process), planned)
+    }
+
+    fn trouble(&self, kind: Kind, rng: &mut fastrand::Rng) {
+        let (edge, core) = (Process::Edge(rng.usize(0..EDGES)), Process::Core(rng.usize(0..CORES)));
+        let down = Duration::from_millis(rng.u64(50..1500));
+        let frozen = Duration::from_millis(rng.u64(50..4000));
+        match kind {
+            Kind::KillEdge => self.kill(&[edge], down, "kill"),
+            Kind::KillCore => self.kill(&[core], down, "kill"),
+            Kind::KillCores => {
+                self.kill(&(0..CORES).map(Process::Core).collect::<Vec<_>>(), down, "kill all cores:")
+            }
+            Kind::KillAll => self.kill(&Cluster::processes().collect::<Vec<_>>(), down, "kill all:"),
+            Kind::FreezeEdge => self.freeze(edge, frozen),
+            Kind::FreezeCore => self.freeze(core, frozen),
+            Kind::RestartEdge => self.restart(edge, down),
+            Kind::RestartCore => self.restart(core, down),
+            Kind::ReloadEdge => self.reload(edge, rng.bool()),
+            Kind::ReloadCore => self.reload(core, rng.bool()),
+            Kind::WipeCore => self.wipe(core, down),
+            Kind::CutEdge => self.cut(edge, (0..CORES).map(Process::Core).collect(), frozen),
+            Kind::CutCore => self.cut(core, (0..CORES).map(Process::Core).collect(), frozen),
+            Kind::CutServices => self.cut(core, Cluster::processes().collect(), frozen),
+            Kind::CrashServer => self.platform.crash(rng.usize(..)),
+            Kind::ReplaceServer => self.platform.replace(rng.usize(..)),
+            Kind::ResetServer => self.platform.reset_connections(rng.usize(..)),
+            Kind::SilencePlatform => {
+                self.platform.silent.store(true, Ordering::SeqCst);
+                sleep(frozen);
+                self.platform.silent.store(false, Ordering::SeqCst);
+            }
+        }
+    }
+
+    /// Kills all of these that no other trouble has, at once, and starts them again.
+    fn kill(&self, processes: &[Process], down: Duration, what: &str) {
+        let claims: Vec<Claim> = processes.iter().filter_map(|p| self.claim(*p)).collect();
+        let notes: Vec<usize> = claims.iter().map(|c| self.note(what, c.1, false)).collect();
+        claims.iter().for_each(|c| self.cluster.signal(c.1, Signal::Kill));
+        claims.iter().for_each(|c| self.cluster.kill(c.1));
+        sleep(down);
+        claims.iter().for_each(|c| self.start(c.1));
+        notes.into_iter().for_each(|note| self.record.over(note));
+    }
+
+    fn start(&self, process: Process) {
+        if let Err(e) = self.cluster.start(process, false) {
+            self.record.violation(format!("harness: {process:?} could not be started: {e:#}"));
+        }
+    }
+
+    fn freeze(&self, process: Process, span: Duration) {
+        let Some(_claim) = self.claim(process) else { return };
+        let note = self.note("freeze", process, false);
+        self.cluster.signal(process, Signal::Stop);
+        sleep(span);
+        self.cluster.signal(process, Signal::Continue);
+        self.record.over(note);
+    }
+
+    fn restart(&self, process: Process, down: Duration) {
+        let Some(_claim) = self.claim(process) else { return };
+        let note = self.note("terminate", process, true);
+        if let Some((took, in_order)) = self.cluster.terminate(process) {
+            if !in_order || self.timed && took.as_secs_f64() > bounds::GRACE {
+                let took = took.as_secs_f64();
+                self.record
+                    .violation(format!("LOST: {process:?} took {took:.1} s to end, in order: {in_order}"));
+            }
+        }
+        // from here on it is away, which is more than planned work on what it had
+        self.record.over(note);
+        let away = self.note("away", process, false);
+        sleep(down);
+        self.start(process);
+        self.record.over(away);
+    }
+
+    fn reload(&self, process: Process, whole: bool) {
+        let Some(_claim) = self.claim(process) else { return };
+        let note = self.note(if whole { "reload" } else { "reload of half a file" }, process, true);
+        let written = self.cluster.write_settings(process, whole);
+        self.cluster.signal(process, Signal::Hangup);
+        sleep(Duration::from_millis(300));
+        let mended = self.cluster.write_settings(process, true);
+        if let Err(e) = written.and(mended) {
+            self.record.violation(format!("harness: settings of {process:?}: {e:#}"));
+        }
+        self.record.over(note);
+    }
+
+    /// A member of the core loses its disk, if all others are sound members: no more than one is to be lost at once.
+    fn wipe(&self, core: Process, down: Duration) {
+        let claims: Vec<Claim> = (0..CORES).filter_map(|i| self.claim(Process::Core(i))).collect();
+        let member = |c: &Claim| self.cluster.metric(c.1, "core.member") == Some(1);
+        if claims.len() < CORES || !claims.iter().all(member) {
+            return;
+        }
+        let note = self.note("wipe", core, false);
+        self.cluster.kill(core);
+        if let Err(e) = self.cluster.wipe(core) {
+            self.record.violation(format!("harness: {e:#}"));
+        }
+        // the others may be in other troubles from here on, but keep their disks
+        let claims: Vec<Claim> = claims.into_iter().filter(|c| c.1 == core).collect();
+        sleep(down);
+        self.start(core);
+        self.record.over(note);
+        drop(claims);
+    }
+
+    /// Cuts a process off from these others for a while.
+    fn cut(&self, process: Process, others: Vec<Process>, span: Duration) {
+        let pairs: Vec<(Process, Process)> =
+            others.into_iter().filter(|o| *o != process).map(|o| (process, o)).collect();
+        let notes: Vec<usize> = match process {
+            Process::Core(_) => (0..CORES).map(|i| self.note("cut", Process::Core(i), false)).collect(),
+            Process::Edge(_) => vec![self.note("cut", process, false)],
+        };
+        self.change_cuts(|cuts| cuts.extend(&pairs));
+        sleep(span);
+        self.change_cuts(|cuts| {
+            for pair in &pairs {
+                if let Some(i) = cuts.iter().position(|cut| cut == pair) {
+                    cuts.swap_remove(i);
+                }
+            }
+        });
+        notes.into_iter().for_each(|note| self.record.over(note));
+    }
+
+    fn change_cuts(&self, change: impl FnOnce(&mut Vec<(Process, Process)>)) {
+        let mut cuts = self.cuts.lock().unwrap_or_else(|p| p.into_inner());
+        change(&mut cuts);
+        if let Err(e) = self.cluster.cut(&cuts) {
+            self.record.violation(format!("harness: cuts: {e:#}"));
+        }
+    }
+
+    /// What strikes at the end: processes of the core, or all, are killed at once, and a disk may be lost with it.
+    pub fn closing(&self, rng: &mut fastrand::Rng) {
+        let all = rng.bool();
+        let victims: Vec<Process> = match all {
+            true => Cluster::processes().collect(),
+            false => (0..CORES).map(Process::Core).collect(),
+        };
+        let wiped = rng.bool().then(|| Process::Core(rng.usize(0..CORES)));
+        // a disk may be lost only where the one before was made up for
+        let sound = (0..CORES).all(|i| self.cluster.metric(Process::Core(i), "core.member") == Some(1));
+        let wiped = wiped.filter(|_| sound);
+        let notes: Vec<usize> = victims.iter().map(|v| self.note("closing fault", *v, false)).collect();
+        victims.iter().for_each(|v| self.cluster.signal(*v, Signal::Kill));
+        victims.iter().for_each(|v| self.cluster.kill(*v));
+        if let Some(Err(e)) = wiped.map(|core| self.cluster.wipe(core)) {
+            self.record.violation(format!("harness: {e:#}"));
+        }
+        sleep(Duration::from_millis(rng.u64(100..1500)));
+        victims.iter().for_each(|v| self.start(*v));
+        notes.into_iter().for_each(|note| self.record.over(note));
+    }
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,76 @@
+//! The soak test from the command line: many seeds, some at a time, and what was broken.
+
+use eyre::{eyre, WrapErr};
+use lupinledge_soak::checks::Scope;
+use lupinledge_soak::cluster::Programs;
+use lupinledge_soak::run::{run, Plan};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+const HELP: &str = "lupinledge-soak: the real programs on loopback under random faults, and a verdict
+
+    lupinledge-soak --programs DIR [--from SEED] [--seeds N] [--seconds S] [--jobs N] [--keep DIR]
+
+--programs: the folder of lupinledge-hive and lupinledge-forager, built with the feature `cuts`
+--from: the first seed (1); --seeds: how many (1); --seconds: how long troubles go on in each run (20)
+--jobs: runs at a time (1); --keep: the folder for settings, disks and logs (a temporary one). What a run without a
+violation left is removed.
+";
+
+fn main() -> ExitCode {
+    match soak(pico_args::Arguments::from_env()) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("{e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays all seeds; returns how many runs broke a promise.
+fn soak(mut args: pico_args::Arguments) -> eyre::Result<u64> {
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(0);
+    }
+    let programs: PathBuf = args.value_from_str("--programs").wrap_err("--programs")?;
+    let from: u64 = args.opt_value_from_str("--from")?.unwrap_or(1);
+    let seeds: u64 = args.opt_value_from_str("--seeds")?.unwrap_or(1);
+    let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(20);
+    let jobs: u64 = args.opt_value_from_str("--jobs")?.unwrap_or(1);
+    let keep: Option<PathBuf> = args.opt_value_from_str("--keep")?;
+    let rest = args.finish();
+    eyre::ensure!(rest.is_empty(), "{rest:?}: not understood; see --help");
+    let own = format!("lupinledge-soak-{}", std::process::id());
+    let keep = keep.unwrap_or_else(|| std::env::temp_dir().join(own));
+    let (next, broken) = (AtomicU64::new(from), AtomicU64::new(0));
+    let worker = || -> eyre::Result<()> {
+        loop {
+            let seed = next.fetch_add(1, Ordering::SeqCst);
+            if seed >= from + seeds {
+                return Ok(());
+            }
+            let folder = keep.join(format!("seed-{seed}"));
+            let trouble = Duration::from_secs(seconds);
+            let programs = Programs::within(&programs);
+            let plan = Plan { seed, trouble, programs, scope: Scope::All, folder: folder.clone() };
+            let verdict = run(&plan).wrap_err_with(|| format!("seed {seed}"))?;
+            println!("seed={seed} violations={} {}", verdict.violations.len(), verdict.summary);
+            verdict.violations.iter().for_each(|v| println!("seed={seed} {v}"));
+            match verdict.violations.is_empty() {
+                true => drop(std::fs::remove_dir_all(&folder)),
+                false => drop(broken.fetch_add(1, Ordering::SeqCst)),
+            }
+        }
+    };
+    std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..jobs.max(1)).map(|_| scope.spawn(worker)).collect();
+        workers.into_iter().try_for_each(|w| w.join().map_err(|_| eyre!("a run broke"))?)
+    })?;
+    let broken = broken.into_inner();
+    println!("runs={seeds} broken={broken}");
+    Ok(broken)
+}
--- /dev/null
+++ b/soak/src/run.rs
@@ -0,0 +1,205 @@
+//! One run: founds the system, lets traffic, troubles and the operator go on at once, strikes a last time, and judges.
+
+use crate::backend::Behaviour;
+use crate::checks::{Evidence, Scope};
+use crate::client::{honest, longest_wait, misbehaving, Crowd};
+use crate::cluster::{Cluster, Programs, EDGES};
+use crate::configuration::bounds::RECOVER;
+use crate::faults::Injector;
+use crate::operator::Operator;
+use crate::platform::Platform;
+use crate::record::{Ending, Process, Record};
+use eyre::{bail, WrapErr};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// The system is to be ready within this.
+const START: Duration = Duration::from_secs(60);
+const HONEST: u64 = 10;
+const MISBEHAVING: u64 = 2;
+/// Of a hundred requests, how many servers do not answer well.
+const FAULTY_IN_100: u64 = 8;
+/// After the last fault traffic goes on for this long beyond the recovery.
+const AFTER: Duration = Duration::from_secs(3);
+/// What has not come by then never does, however busy the machine is.
+const UNTIMED_RECOVER: f64 = 120.0;
+/// What a process may hold at the end of a run, when no client is there any more.
+const RESIDENT_MB: u64 = 160;
+const DESCRIPTORS: usize = 400;
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    /// Troubles go on for so long.
+    pub trouble: Duration,
+    pub programs: Programs,
+    /// Which promises are judged.
+    pub scope: Scope,
+    /// For settings, disks and logs; removed where nothing was broken.
+    pub folder: PathBuf,
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Verdict {
+    pub violations: Vec<String>,
+    /// A line of figures.
+    pub summary: String,
+}
+
+/// Plays one run.
+pub fn run(plan: &Plan) -> eyre::Result<Verdict> {
+    let record = Arc::new(Record::default());
+    let behaviour = Behaviour { seed: plan.seed, faulty_in_100: FAULTY_IN_100 };
+    let (platform, at) = Platform::start(record.clone(), behaviour).wrap_err("platform")?;
+    let cluster = Cluster::new(record.clone(), plan.programs.clone(), plan.folder.clone(), at)?;
+    cluster.cut(&[])?;
+    Cluster::processes().try_for_each(|p| cluster.start(p, matches!(p, Process::Core(_))))?;
+    let rotating_key: Arc<Mutex<String>> = Arc::default();
+    let operator = Arc::new(Operator {
+        record: record.clone(),
+        cluster: cluster.clone(),
+        rotating_key: rotating_key.clone(),
+        stop: AtomicBool::new(false),
+        seed: plan.seed,
+    });
+    let mut rng = fastrand::Rng::with_seed(plan.seed);
+    if !operator.change(&mut rng) {
+        bail!("the first configuration was not taken");
+    }
+    wait_until_ready(&cluster)?;
+    let crowd = Arc::new(Crowd {
+        record: record.clone(),
+        cluster: cluster.clone(),
+        rotating_key,
+        stop: AtomicBool::new(false),
+        seed: plan.seed,
+    });
+    let mut clients = Vec::new();
+    for nth in 0..HONEST {
+        let crowd = crowd.clone();
+        clients.push(spawn(move || honest(crowd, nth)));
+    }
+    for nth in 0..MISBEHAVING {
+        let crowd = crowd.clone();
+        clients.push(spawn(move || misbehaving(crowd, nth)));
+    }
+    let injector = Injector::new(record.clone(), cluster.clone(), platform, plan.seed, plan.scope);
+    let (acts, orders) = (injector.clone(), operator.clone());
+    let (troubles, orders) = (spawn(move || acts.act()), spawn(move || orders.act()));
+    sleep(plan.trouble);
+    injector.stop.store(true, Ordering::SeqCst);
+    operator.stop.store(true, Ordering::SeqCst);
+    if troubles.join().is_err() || orders.join().is_err() {
+        bail!("the harness broke");
+    }
+    operator.change(&mut rng);
+    sleep(Duration::from_millis(rng.u64(0..300)));
+    injector.closing(&mut rng);
+    let back = record.now();
+    let within = if plan.scope == Scope::All { RECOVER } else { UNTIMED_RECOVER };
+    recover(&record, &operator, &mut rng, back, within);
+    sleep(AFTER);
+    crowd.stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| drop(client.join()));
+    look_at_the_end(&record, &cluster);
+    Ok(judge(&record, &cluster, plan.scope))
+}
+
+fn wait_until_ready(cluster: &Cluster) -> eyre::Result<()> {
+    let began = Instant::now();
+    while !(0..EDGES).all(|edge| cluster.ready(edge)) {
+        if began.elapsed() > START {
+            bail!("the system was not ready in time");
+        }
+        sleep(Duration::from_millis(50));
+    }
+    Ok(())
+}
+
+/// RECOVER and LOST: traffic is served again in time, and what was acknowledged is still there.
+fn recover(record: &Record, operator: &Operator, rng: &mut fastrand::Rng, back: f64, within: f64) {
+    let serves = || {
+        let (now, seen) = (record.now(), record.seen());
+        let late = seen.sent.iter().filter(|s| s.at > back && s.at > now - 2.0);
+        let (served, all) = late.fold((0, 0), |(served, all), s| {
+            (served + usize::from(matches!(s.ending, Ending::Answered { status: 200, .. })), all + 1)
+        });
+        all > 10 && served * 4 > all
+    };
+    while !serves() {
+        if record.now() > back + within {
+            record.violation(format!("RECOVER: not served {within} s after the closing fault at {back:.1}"));
+            break;
+        }
+        sleep(Duration::from_millis(100));
+    }
+    if operator.read(rng).is_none() {
+        record.violation("CONFIG: no configuration could be read after the closing fault".into());
+    }
+}
+
+/// What the processes hold and say of themselves once no client is there.
+fn look_at_the_end(record: &Record, cluster: &Cluster) {
+    sleep(Duration::from_secs_f64(longest_wait() + 0.5));
+    cluster.look_for_own_ends();
+    for process in Cluster::processes() {
+        if let Process::Edge(_) = process {
+            let unanswered = cluster.metric(process, "requests.unanswered");
+            if unanswered != Some(0) {
+                record.violation(format!(
+                    "leak: {process:?} holds {unanswered:?} requests of clients that are gone"
+                ));
+            }
+        }
+        match cluster.resources(process) {
+            Ok((resident, descriptors)) if resident > RESIDENT_MB || descriptors > DESCRIPTORS => {
+                record.violation(format!(
+                    "leak: {process:?} holds {resident} MB and {descriptors} descriptors"
+                ));
+            }
+            Ok(_) => {}
+            Err(e) => record.violation(format!("own end: {process:?}: {e:#}")),
+        }
+    }
+}
+
+/// Lines of the programs' logs that tell of a fault of their own.
+fn of_logs(cluster: &Cluster) -> Vec<String> {
+    let mut found = Vec::new();
+    for process in Cluster::processes() {
+        let log = std::fs::read_to_string(cluster.log(process)).unwrap_or_default();
+        let tells = |line: &&str| {
+            line.contains("invariant_violated") || line.contains("panicked") || line.contains("event=failed")
+        };
+        found.extend(log.lines().filter(tells).map(|line| format!("log of {process:?}: {line}")));
+    }
+    found
+}
+
+fn judge(record: &Record, cluster: &Cluster, scope: Scope) -> Verdict {
+    let seen = record.seen();
+    let mut violations = Evidence::new(&seen).violations(scope);
+    violations.extend(of_logs(cluster));
+    let mut endings: BTreeMap<String, usize> = BTreeMap::new();
+    for sent in &seen.sent {
+        let ending = match &sent.ending {
+            Ending::Answered { status, .. } => status.to_string(),
+            other => format!("{other:?}").to_lowercase(),
+        };
+        *endings.entry(ending).or_default() += 1;
+    }
+    let acknowledged = seen.versions.iter().filter(|v| v.acknowledged.is_some()).count();
+    let (requests, runs, troubles) =
+        (seen.sent.len(), seen.arrivals.iter().filter(|a| a.ran).count(), seen.troubles.len());
+    let summary = format!(
+        "requests={requests} runs={runs} endings={endings:?} versions={acknowledged}/{} troubles={troubles}",
+        seen.versions.len()
+    );
+    Verdict { violations, summary }
+}
--- a/wax/src/lib.rs
+++ b/wax/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod clock;
 mod counts;
+mod cuts;
 mod frame;
 mod link;
 pub mod list;
--- a/wax/src/link.rs
+++ b/wax/src/link.rs
@@ -164,7 +164,11 @@
     if !wait.is_zero() {
         tokio::time::sleep(wait).await;
     }
-    let failed = match timeout(CONNECT, connect(&post, line.to)).await {
+    let opening = async {
+        post.cuts.mended(post.me, line.to).await;
+        connect(&post, line.to).await
+    };
+    let failed = match timeout(CONNECT, opening).await {
         Ok(Ok(stream)) => {
             post.counts.links.set(post.counts.links.get() + 1);
             run(&post, &line, stream, BytesMut::new()).await.is_err()
@@ -229,7 +233,7 @@
 async fn run(post: &Inner, line: &Rc<Line>, stream: TcpStream, buf: BytesMut) -> io::Result<()> {
     let (mut r, mut w) = stream.into_split();
     let mut reading = std::pin::pin!(read(post, line, &mut r, buf));
-    let mut writing = std::pin::pin!(write(line, &mut w));
+    let mut writing = std::pin::pin!(write(post, line, &mut w));
     let first = tokio::select! {
         done = &mut reading => done.map(|_| true),
         done = &mut writing => done.map(|_| false),
@@ -253,6 +257,7 @@
             };
             let Some(frame) = frame else { break };
             line.busy.set(true);
+            post.cuts.mended(post.me, line.to).await;
             post.word(line.to, &frame);
         }
         if buf.is_empty() && buf.capacity() > LARGE {
@@ -266,7 +271,7 @@
     }
 }
 
-async fn write(line: &Line, w: &mut OwnedWriteHalf) -> io::Result<()> {
+async fn write(post: &Inner, line: &Line, w: &mut OwnedWriteHalf) -> io::Result<()> {
     let mut out = Vec::new();
     loop {
         let frames = {
@@ -288,6 +293,7 @@
             line.wake.notified().await;
             continue;
         }
+        timeout(UNANSWERED, post.cuts.mended(post.me, line.to)).await?;
         w.write_all(&out).await?;
         let mut queue = line.queue.borrow_mut();
         queue.out = 0;
--- a/wax/src/post.rs
+++ b/wax/src/post.rs
@@ -1,6 +1,7 @@
 //! The way out and in for words.
 
 use crate::counts::{add, Counts};
+use crate::cuts::Cuts;
 use crate::link::{self, Line};
 use crate::{decode, encode, Node, Word};
 use eyre::WrapErr;
@@ -49,6 +50,7 @@
     own_wake: Notify,
     lines: RefCell<slab::Slab<AbortHandle>>,
     closed: Cell<bool>,
+    pub cuts: Cuts,
 }
 
 /// The links with another process.
@@ -91,6 +93,7 @@
             own_wake: Notify::new(),
             lines: RefCell::default(),
             closed: Cell::new(false),
+            cuts: Cuts::told(),
         });
         let tasks = vec![
             spawn_local(inner.clone().datagrams()).abort_handle(),
@@ -109,7 +112,8 @@
         }
         let mut buf = inner.buf.borrow_mut();
         buf.clear();
-        let fits = !inner.closed.get() && encode(word, &mut buf).is_ok() && buf.len() <= DATAGRAM;
+        let open = !inner.closed.get() && !inner.cuts.between(inner.me, to);
+        let fits = open && encode(word, &mut buf).is_ok() && buf.len() <= DATAGRAM;
         let at = SockAddr::from(SocketAddrV4::new(Ipv4Addr::from(to), inner.port));
         // straight to the system: the runtime would first wait to hear that the socket takes something
         if fits && SockRef::from(&inner.udp).send_to(&buf, &at).is_ok() {
@@ -183,7 +187,10 @@
         loop {
             match self.udp.recv_from(&mut buf).await {
                 Ok((len, SocketAddr::V4(from))) if from.port() == self.port && len <= DATAGRAM => {
-                    self.word(Node::from(*from.ip()), &buf[..len]);
+                    let from = Node::from(*from.ip());
+                    if !self.cuts.between(self.me, from) {
+                        self.word(from, &buf[..len]);
+                    }
                 }
                 Ok(_) => self.unreadable(),
                 Err(e) => {
