An answer that begins before the body is read means that the server may have run the request

Cause: whether a request may have run was told by the last byte written alone (`Meter::whole`), and an answer that came before it was thrown away as one of another request. A server may answer before it has read a long body; then the request was sent to a second server although the first had run and answered it (TWICE), and a success was lost.

Class: an inference from one side of a connection (what was written) where the other side (what came back) says more.

Change: `Meter::may_run`: the last byte is written, or the answer itself has begun. An early answer is read like any other: its own id makes it the client's, another one's id makes the outcome unknown. The connection is not used again, since the rest of the body is due there (UNASKED).

Left: a server that answers early and resets the connection before its answer is read here can't be told from one that never ran the request; by the protocol a connection that never took the last byte has not run it.

Ruled out: sending on no request whose connection broke before its last byte (the protocol's promise covers it, and `broken_off_after_any_byte` holds it).

--- a/comb/src/srvs.rs
+++ b/comb/src/srvs.rs
@@ -255,26 +255,25 @@
                 }
             });
             return match answer.await {
-                // one that came before its req was whole belongs to no req
-                Ok(Ok(answer)) if meter.whole() => {
+                Ok(Ok(answer)) => {
                     l.idle_most = keep_alive(answer.headers())
                         .filter(|_| bounds.keep_alive)
                         .map(|kept| kept.saturating_sub(bounds.connect_wait));
                     let (back, again) = self.wire.read(&d, answer);
-                    if again {
+                    // behind an answer that came early the rest of the body is still due on the connection
+                    if again && meter.whole() {
                         self.keep(d.srv, l);
                     } else {
                         l.ending.because(Why::ClosedHere);
                     }
                     back
                 }
-                Ok(Ok(_)) => Back::bare(Outcome::NoConnection),
                 Ok(Err(())) if !l.meter.started() && !fresh => continue, // idle, and closed by the srv
-                Ok(Err(())) if !l.meter.whole() => Back::bare(Outcome::NoConnection),
+                Ok(Err(())) if !l.meter.may_run() => Back::bare(Outcome::NoConnection),
                 Ok(Err(())) => Back::bare(Outcome::Reset),
                 Err(_) => {
                     l.ending.because(Why::TimedOut);
-                    Back::bare(if l.meter.whole() { Outcome::TimedOut } else { Outcome::NoConnection })
+                    Back::bare(if l.meter.may_run() { Outcome::TimedOut } else { Outcome::NoConnection })
                 }
             };
         }
--- a/comb/src/transport/counted.rs
+++ b/comb/src/transport/counted.rs
@@ -82,6 +82,10 @@
     pub fn started(&self) -> bool {
         self.started.get()
     }
+    /// Whether the srv may run it: it has the last byte, or has begun to answer before.
+    pub fn may_run(&self) -> bool {
+        self.whole() || self.front.get() == Front::Off
+    }
     /// Whether its last byte is.
     pub fn whole(&self) -> bool {
         self.head_end.get() == HEAD_END.len() && self.body_left.get() == 0
@@ -200,10 +204,10 @@
             assert!(m.started() && !m.whole(), "after {part:?}");
         }
         m.wrote(b"z");
-        assert!(m.whole());
+        assert!(m.whole() && m.may_run());
         m.begin(0, 0);
         m.wrote(b"GET / HTTP/1.1\r\n\r\r\n\r");
-        assert!(!m.whole());
+        assert!(!m.whole() && !m.may_run());
         m.wrote(b"\n");
         assert!(m.whole());
     }
@@ -216,7 +220,9 @@
         for b in b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\nHTTP/1.1 " {
             assert!(m.read(&[*b]) && m.front.get() != Front::Off);
         }
+        assert!(!m.may_run(), "only told ahead of an answer");
         assert!(m.read(b"200 OK") && m.front.get() == Front::Off);
+        assert!(m.may_run() && !m.whole(), "it answers before it has read all");
         assert!(!m.read(&[0; 40]), "past what an answer may have");
     }
 
