Tests: the log must not stop the service, and a panic must end the process (known red)

- Where the reader of standard error has ended, a line that can't be written makes the log's library print the fault to standard error, which panics: the task that wrote the line ends.
Seen: refused requests without an answer, and by the code a configuration that is marked as followed and never comes into force.
- Where the reader stands still, the pipe fills and the next line blocks the one thread of the process for good.
- A panic in a task ends that task alone.

--- a/forager/tests/rules/fleet.rs
+++ b/forager/tests/rules/fleet.rs
@@ -99,14 +99,16 @@
     (id, head + &rest)
 }
 
+/// The program by these settings, with its log written there.
+fn spawn_program(path: &Path, settings: &Value, log: Stdio) -> Child {
+    std::fs::write(path, settings.to_string()).expect("a settings file");
+    let mut program = Command::new(env!("CARGO_BIN_EXE_lupinledge-forager"));
+    program.env("LUPINLEDGE_NODE_FILE", path).stderr(log).spawn().expect("the program")
+}
+
 /// The program by these settings, and what it logs.
 fn run(path: &Path, settings: &Value) -> (Child, Arc<Mutex<String>>) {
-    std::fs::write(path, settings.to_string()).expect("a settings file");
-    let mut child = Command::new(env!("CARGO_BIN_EXE_lupinledge-forager"))
-        .env("LUPINLEDGE_NODE_FILE", path)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program");
+    let mut child = spawn_program(path, settings, Stdio::piped());
     let log: Arc<Mutex<String>> = Arc::default();
     let (to, from) = (log.clone(), child.stderr.take().expect("its log"));
     spawn(move || {
@@ -130,6 +132,13 @@
     }
 }
 
+/// A figure that a program tells of itself.
+fn metric(at: SocketAddr, name: &str) -> Option<u64> {
+    let mut client = Client::to(at).ok()?;
+    let answer = client.ask(b"GET /lupinledge/metrics HTTP/1.1\r\nHost: a\r\n\r\n").ok()??;
+    answer.text().lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
+}
+
 impl Drop for Beside {
     fn drop(&mut self) {
         let _ = (self.child.kill(), self.child.wait(), std::fs::remove_file(&self.path));
@@ -196,6 +205,11 @@
         until(&line, || self.log.lock().unwrap().contains(&line));
     }
 
+    /// The figure of this name that the program tells of itself.
+    pub fn metric(&self, name: &str) -> Option<u64> {
+        metric(self.ready, name)
+    }
+
     /// Other bounds in the settings file and SIGHUP; waits until the log says this of it.
     pub fn bounds(&self, bounds: Value, says: &str) {
         let (mut settings, file) = (self.settings.clone(), self.path.with_extension("new"));
@@ -222,6 +236,11 @@
 
     /// One more node, ready when this returns.
     pub fn beside(&self) -> Beside {
+        self.beside_logging_to(Stdio::null())
+    }
+
+    /// One more node whose log is written there, ready when this returns.
+    pub fn beside_logging_to(&self, log: Stdio) -> Beside {
         let (own, mut settings) = (ip(), self.settings.clone());
         let at = |port: u16| SocketAddr::from((own, port));
         let (front, ready) = (at(self.front.port()), at(self.ready.port()));
@@ -229,7 +248,7 @@
         settings["listen"] = json!({"front": front, "ready": ready});
         let path = std::env::temp_dir().join(format!("lupinledge-forager-{own}.json"));
         let alone = STARTING.lock();
-        let (child, _) = run(&path, &settings);
+        let child = spawn_program(&path, &settings, log);
         drop(alone);
         let beside = Beside { child, path, front, ready };
         until("the node beside is ready", || beside.readiness() == Some(200));
--- a/propolis/src/tables.rs
+++ b/propolis/src/tables.rs
@@ -271,6 +271,8 @@
     /// nothing happens. See [`DRIFTS`].
     #[cfg_attr(not(feature = "drift"), allow(unused_variables))]
     pub fn drift(&mut self, how: &str) {
+        #[cfg(feature = "drift")]
+        assert!(how != "panic", "as the test asks for");
         #[cfg(feature = "drift")]
         match (how, self.services.len()) {
             ("service", n @ 2..) => {
