The log holds nobody up, and a panic ends the process

Cause: both programs of the system wrote each line of the log from the thread that all their tasks run on, straight to standard error. A reader that stands still blocked the process for good; one that had ended made the log's library panic in the task that wrote the line. And a panic, from whatever cause, ended one task and left the process ready without it.

Class: a part that is only there to look on, or to run beside, decides over the life of the service, or dies unseen.

Change: `logging/`: a bounded queue and a thread that writes; what finds no room is counted, and the count is a line itself. The old gateway had such a thread of its own, which is now the same one. A panic on the thread of the tasks is logged and ends the process by a signal, at once; the disk's thread catches its own panics as before. The same holds for the old gateway's program, which had the second fault too. Its lab and stand-ins run no service.

Ruled out: a non-blocking standard error (the flag belongs to the other end's process too); going on without the task that panicked (what state it left behind is not known, and a restart is what the platform does well); `panic = "abort"` in the profiles (the disk's part relies on catching what its library throws).

--- a/comb/src/logger.rs
+++ b/comb/src/logger.rs
@@ -1,23 +1,15 @@
-//! The log: lines to standard error by a thread of their own, so that a slow reader stops nobody. Lines that
-//! the thread has no room for are counted and dropped.
+//! The log of the old gateway and the lab: lines to standard error that hold nobody up.
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
-use std::io::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::mpsc::{sync_channel, SyncSender};
+use lupinledge_logging::{panics, Lines};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-enum Item {
-    Line(String),
-    Flush(SyncSender<()>),
-}
+/// A flush waits so long at most.
+const FLUSH: Duration = Duration::from_secs(1);
 
-struct Lines {
-    to: SyncSender<Item>,
-    dropped: AtomicU64,
-}
+struct Logger(Lines);
 
-impl Log for Lines {
+impl Log for Logger {
     fn enabled(&self, m: &Metadata) -> bool {
         // the libraries' own chatter stays out, their warnings don't
         m.level() <= Level::Warn || m.target().starts_with("lupinledge")
@@ -28,45 +20,23 @@
         }
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64();
         let level = r.level().as_str().to_ascii_lowercase();
-        if self.to.try_send(Item::Line(format!("{now:.3} {level} {}\n", r.args()))).is_err() {
-            self.dropped.fetch_add(1, Ordering::Relaxed);
-        }
+        self.0.put(format!("{now:.3} {level} {}\n", r.args()).into_bytes());
     }
     /// Waits for the lines so far, a second at the most.
     fn flush(&self) {
-        let dropped = self.dropped.swap(0, Ordering::Relaxed);
-        if dropped > 0 {
-            let _ = self.to.try_send(Item::Line(format!("{dropped} lines of the log dropped\n")));
-        }
-        let (done, wait) = sync_channel(1);
-        if self.to.try_send(Item::Flush(done)).is_ok() {
-            let _ = wait.recv_timeout(Duration::from_secs(1));
-        }
+        self.0.flush(FLUSH);
     }
 }
 
-/// Makes this the process's log, from level info on; does nothing more where there is one.
+/// Makes this the process's log, from level info on; does nothing more where there is one. A panic on this thread ends
+/// the process.
 pub fn start() {
-    let (to, lines) = sync_channel(4096);
-    std::thread::spawn(move || {
-        let mut batch = Vec::new();
-        while let Ok(first) = lines.recv() {
-            let mut asked = Vec::new();
-            for item in std::iter::once(first).chain(lines.try_iter().take(256)) {
-                match item {
-                    Item::Line(l) => batch.extend_from_slice(l.as_bytes()),
-                    Item::Flush(done) => asked.push(done),
-                }
-            }
-            let _ = std::io::stderr().write_all(&batch);
-            batch.clear();
-            for done in asked {
-                let _ = done.send(());
-            }
-        }
-    });
-    let lines = Box::leak(Box::new(Lines { to, dropped: AtomicU64::new(0) }));
-    if log::set_logger(lines).is_ok() {
+    let logger = Box::leak(Box::new(Logger(Lines::start(std::io::stderr()))));
+    if log::set_logger(logger).is_ok() {
         log::set_max_level(LevelFilter::Info);
     }
+    panics::end_the_process(|panic| {
+        log::error!("panicked {:?}", panic.to_string());
+        log::logger().flush();
+    });
 }
--- a/dance/src/cli.rs
+++ b/dance/src/cli.rs
@@ -1,7 +1,9 @@
 //! The command line that both programs have.
 
+use crate::log;
 use eyre::WrapErr;
 use lupinledge_propolis::{Config, Settings};
+use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -19,13 +21,13 @@
 
 /// Runs a program's `main`: `run` without arguments, or what the arguments ask for.
 pub fn main(about: About, run: fn() -> eyre::Result<()>) -> ExitCode {
-    match cli(&about, pico_args::Arguments::from_env(), run) {
-        Ok(code) => code,
-        Err(e) => {
-            eprintln!("level=error event=failed fault={:?}", format!("{e:#}"));
-            ExitCode::FAILURE
-        }
-    }
+    let code = cli(&about, pico_args::Arguments::from_env(), run);
+    log::flush();
+    code.unwrap_or_else(|e| {
+        // nothing is to be done where this can't be written either
+        let _ = writeln!(std::io::stderr(), "level=error event=failed fault={:?}", format!("{e:#}"));
+        ExitCode::FAILURE
+    })
 }
 
 fn cli(
--- a/dance/src/log.rs
+++ b/dance/src/log.rs
@@ -1,7 +1,12 @@
 //! The log: one line of key=value pairs for each event, to standard error. Lines cost processor time: only what
-//! changes hands or goes wrong is told.
+//! changes hands or goes wrong is told. Whatever becomes of who reads them, they hold nobody up.
 
+use lupinledge_logging::{panics, Lines};
 use std::fmt;
+use std::io;
+use std::panic::PanicHookInfo;
+use std::sync::OnceLock;
+use std::time::Duration;
 use tracing::field::{Field, Visit};
 use tracing::{Event, Subscriber};
 use tracing_subscriber::fmt::format::Writer;
@@ -56,10 +61,40 @@
     }
 }
 
-/// From here on events are written.
+/// At the end of the process its lines have so long to come out.
+const FLUSH: Duration = Duration::from_millis(200);
+
+static LINES: OnceLock<Lines> = OnceLock::new();
+
+/// Takes one whole line a call.
+struct OneLine;
+
+impl io::Write for OneLine {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        LINES.get().into_iter().for_each(|lines| lines.put(line.to_vec()));
+        Ok(line.len())
+    }
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Waits for the lines so far, but not for a reader that stands still. To be called before the process ends.
+pub fn flush() {
+    LINES.get().into_iter().for_each(|lines| lines.flush(FLUSH));
+}
+
+fn tell_panic(panic: &PanicHookInfo) {
+    tracing::error!(event = "panicked", fault = %panic);
+    flush();
+}
+
+/// From here on events are written, and a panic on this thread ends the process.
 pub fn start() {
-    let fmt = tracing_subscriber::fmt().with_max_level(tracing::Level::INFO).with_writer(std::io::stderr);
+    LINES.get_or_init(|| Lines::start(io::stderr()));
+    let fmt = tracing_subscriber::fmt().with_max_level(tracing::Level::INFO).with_writer(|| OneLine);
     let _ = fmt.event_format(Line).try_init();
     // the shared parts tell of each connection; at thousands a second that is too dear
     log::set_max_level(log::LevelFilter::Warn);
+    panics::end_the_process(tell_panic);
 }
