A connection is in use until its answer is written, and isn't cut with a request that was just read

Cause: `Link::unused` and `unused_for` counted from when the answer was ready (`Busy` is dropped then), though hyper still writes it; and whether a connection may be cut at once was asked by why it ends, not by what is on it.

Class: an end decided on by a state that is older than the last look at the socket.

Change: the followed stream notes when it wrote last, and a connection counts as unused from then on: slow readers keep theirs while the answer gets on, one that stands still is cut as before. One that a request came on with the last look goes the way of all that are to end: after its answer.

Looked for elsewhere: the connections to servers are looked into (`at_rest`) before each use; the control side's own connections end by `stop` after their call, and its calls are a few kilobytes long, with the same race for a connection that is ended to make room among 256: left as it is, since hyper goes on with a request that was read there (`graceful_shutdown`, then three seconds).

--- a/comb/src/clients.rs
+++ b/comb/src/clients.rs
@@ -52,8 +52,8 @@
     pub head: Duration,
     /// A req is to be there whole within so long of its head's end, a connection's first one of the connecting.
     pub whole: Duration,
-    /// A connection that is to end and has begun a req without ending it, or does not read its answer, is cut
-    /// after so long: time enough for what is already under way on a network.
+    /// A connection that is to end and has begun a req without ending it, or of whose answer nothing more can be
+    /// written, is cut after so long: time enough for what is already under way on a network.
     pub unfinished: Duration,
     /// `idle` and `head` are looked at so often.
     pub sweep: Duration,
@@ -112,7 +112,13 @@
     /// on: bytes that come one by one are no req.
     fn unused(&self) -> Option<Duration> {
         let begun = self.heads.begun().filter(|_| self.used.get());
-        (!self.busy.get()).then(|| begun.unwrap_or(self.since.get()).elapsed())
+        (!self.busy.get()).then(|| begun.unwrap_or(self.last_used()).elapsed())
+    }
+
+    /// When its last answer was ready, or was last getting on.
+    fn last_used(&self) -> Instant {
+        let since = self.since.get();
+        self.heads.wrote().map_or(since, |wrote| wrote.max(since))
     }
 
     /// Until it is to end. One that has brought nothing yet is given time: its first req may be in the
@@ -124,7 +130,7 @@
         }
     }
 
-    /// Until no req was here for so long at a stretch.
+    /// Until no req was here and no answer got on for so long at a stretch.
     async fn unused_for(&self, span: Duration) {
         let mut since = Instant::now();
         while since.elapsed() < span {
@@ -132,6 +138,7 @@
             if self.busy.get() {
                 since = Instant::now();
             }
+            since = since.max(self.last_used());
         }
     }
 }
@@ -230,10 +237,12 @@
                 end = conn.as_mut() => end,
                 _ = link.to_end(|| clients.bounds.get().unfinished) => {
                     conn.as_mut().graceful_shutdown();
+                    // a req may have come with the last look at it
+                    let cut = link.cut() && !link.busy.get();
                     tokio::select! {
                         end = conn.as_mut() => end,
-                        _ = link.unused_for(clients.bounds.get().unfinished), if !link.cut() => Ok(()),
-                        _ = std::future::ready(()), if link.cut() => Ok(()),
+                        _ = link.unused_for(clients.bounds.get().unfinished), if !cut => Ok(()),
+                        _ = std::future::ready(()), if cut => Ok(()),
                     }
                 }
             };
--- a/comb/src/transport/heads.rs
+++ b/comb/src/transport/heads.rs
@@ -36,9 +36,14 @@
     begun: Cell<Option<Instant>>,
     heads: Cell<u64>,
     fault: Cell<Option<&'static str>>,
+    wrote: Cell<Option<Instant>>,
 }
 
 impl Heads {
+    /// When a byte was written last: until an answer is written its connection is in use.
+    pub fn wrote(&self) -> Option<Instant> {
+        self.wrote.get()
+    }
     /// Since when a head is open.
     pub fn begun(&self) -> Option<Instant> {
         self.begun.get()
@@ -52,6 +57,12 @@
         self.at.get() == At::Coded || self.fault.get().is_some()
     }
 
+    fn written(&self, done: &Poll<io::Result<usize>>) {
+        if matches!(done, Poll::Ready(Ok(1..))) {
+            self.wrote.set(Some(Instant::now()));
+        }
+    }
+
     fn read(&self, mut bytes: &[u8]) {
         while let Some(&first) = bytes.first() {
             match self.at.get() {
@@ -145,14 +156,18 @@
 
 impl<S: AsyncWrite + Unpin> AsyncWrite for Followed<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let done = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.heads.written(&done);
+        done
     }
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context,
         bufs: &[IoSlice],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let done = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.heads.written(&done);
+        done
     }
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
