A settings file that was refused is looked at again, and is known by its length and its inode too

Cause: a change was told by the file's time alone, and a refused file counted as seen. Written in two parts within one tick of the disk's clock, or in place with its old time, the whole file was never read.

Class: a state judged by one attribute that can stand still while the state moves.

Ruled out: watching the folder (not to be had on the users' machines).

--- a/dance/src/settings.rs
+++ b/dance/src/settings.rs
@@ -2,6 +2,7 @@
 
 use eyre::{eyre, WrapErr};
 use lupinledge_propolis::Settings;
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
 use tokio::signal::unix::Signal;
@@ -22,25 +23,40 @@
     Settings::parse(&bytes).map_err(|fault| eyre!("{}: {fault}", path.display()))
 }
 
-fn changed_at(path: &Path) -> Option<SystemTime> {
-    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+/// What tells one state of a file from another: its time, its length, and which file it is.
+type State = (Option<SystemTime>, u64, u64);
+
+fn state(path: &Path) -> Option<State> {
+    let metadata = std::fs::metadata(path).ok()?;
+    Some((metadata.modified().ok(), metadata.len(), metadata.ino()))
 }
 
 /// Takes the file anew whenever it changes, as long as the process runs. One that can't be read, or that `take`
-/// refuses, changes nothing and is logged with the field at fault.
+/// refuses, changes nothing and is logged with the field at fault; it is looked at again each time, since it may have
+/// been met half written.
 pub async fn watch(path: PathBuf, mut hangup: Signal, take: impl Fn(Settings) -> eyre::Result<()>) {
-    let mut last = changed_at(&path);
+    let mut last = state(&path);
+    let mut refused: Option<String> = None;
     loop {
         let asked = timeout(LOOK, hangup.recv()).await.is_ok();
-        let at = changed_at(&path);
-        if !asked && at == last {
+        let now = state(&path);
+        if !asked && now == last && refused.is_none() {
             continue;
         }
-        last = at;
+        last = now;
         match read(&path).and_then(&take) {
-            Ok(()) => tracing::info!(event = "settings_taken"),
+            Ok(()) => {
+                refused = None;
+                tracing::info!(event = "settings_taken");
+            }
             // whatever is wrong with the new file, the old one has served until now
-            Err(e) => tracing::error!(event = "settings_refused", fault = %format!("{e:#}")),
+            Err(e) => {
+                let fault = format!("{e:#}");
+                if asked || refused.as_ref() != Some(&fault) {
+                    tracing::error!(event = "settings_refused", %fault);
+                }
+                refused = Some(fault);
+            }
         }
     }
 }
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -136,7 +136,7 @@
         let Some(edge) = self.crowd.cluster.edge_at(front) else { return };
         let request = self.request();
         let record = self.crowd.record.clone();
-        let leaves = self.rng.u8(0..25) == 0;
+        let (leaves, mut goes_on) = (self.rng.u8(0..25) == 0, false);
         let written = link.write(&request.bytes());
         let at = record.now();
         let ending = match written {
@@ -145,10 +145,16 @@
                 sleep(Duration::from_millis(self.rng.u64(1..60)));
                 Ending::Left
             }
-            Ok(()) => ending(&request, link.answer()),
+            Ok(()) => {
+                let answer = link.answer();
+                let closes =
+                    |a: &Message| a.header("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+                goes_on = matches!(&answer, Ok(Some(a)) if !closes(a));
+                ending(&request, answer)
+            }
         };
         let ended = record.now();
-        let answered = matches!(ending, Ending::Answered { fault: None, .. });
+        let answered = goes_on && matches!(ending, Ending::Answered { fault: None, .. });
         if answered && self.rng.u8(0..12) > 0 {
             self.link = Some((front, link));
         } else if !answered {
