--- a/forager/tests/rules/fleet.rs
+++ b/forager/tests/rules/fleet.rs
@@ -171,17 +171,30 @@
         Fleet::with(rows, &config(), json!({}))
     }
 
+    /// With so many megabytes of memory.
+    pub fn within(rows: Vec<Row>, memory_mb: u64) -> Fleet {
+        Fleet::set_up(rows, &config(), json!({"limits": {"memory_mb": memory_mb}}))
+    }
+
     pub fn with(rows: Vec<Row>, config: &Value, bounds: Value) -> Fleet {
+        Fleet::set_up(rows, config, json!({"bounds": bounds}))
+    }
+
+    /// With these fields of the settings file beside the plain ones.
+    fn set_up(rows: Vec<Row>, config: &Value, more: Value) -> Fleet {
         let (own, hive) = (ip(), ip());
         let alone = STARTING.lock().unwrap_or_else(|e| e.into_inner());
         let [peers, front, ready] = ports([own, hive]);
         let settings = |ip: Ipv4Addr| {
-            json!({
+            let mut settings = json!({
                 "ip": ip, "zone": "mead-1", "region": "mead",
                 "zones": {"mead-1": "mead", "mead-2": "mead", "wold-1": "wold"},
                 "listen": {"front": format!("{own}:{front}"), "ready": format!("{own}:{ready}")},
-                "port_range": [peers, peers], "seeds": [format!("{hive}:{peers}")], "bounds": bounds,
-            })
+                "port_range": [peers, peers], "seeds": [format!("{hive}:{peers}")],
+            });
+            let fields = settings.as_object_mut().zip(more.as_object());
+            fields.into_iter().for_each(|(all, more)| all.extend(more.clone()));
+            settings
         };
         let told = Settings::parse(settings(hive).to_string().as_bytes()).expect("the hive's settings");
         let hive = Hive::start(told);
--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -376,3 +376,31 @@
     assert_eq!((answer.status(), answer.text()), (200, format!("i-1 for {id}")));
     assert!(f.end().success() && began.elapsed() < ms(3000), "{:?}", began.elapsed());
 }
+
+/// The bodies that are held at once are bounded, those that come in chunks and tell no length as well: what finds no
+/// room is told to come back, and nothing of it is kept.
+#[test]
+fn bodies_within_the_memory() {
+    let s = srv("i-1", GOOD);
+    // three of these ten megabytes are for bodies
+    let f = Fleet::within(vec![row(&s, "a")], 10);
+    let told = |bytes: usize| req("POST /pay/x", "key", "", &"x".repeat(bytes)).1;
+    let chunked = |bytes: usize| {
+        let text = told(bytes);
+        let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+        let head = head.replace(&format!("Content-Length: {bytes}"), "Transfer-Encoding: chunked");
+        format!("{head}\r\n\r\n{bytes:x}\r\n{body}\r\n0\r\n\r\n")
+    };
+    let status = |text: String| {
+        let mut client = Client::to(f.front).expect("a connection");
+        // what is refused is not read to its end
+        let _ = client.write(text.as_bytes());
+        client.answer().ok().flatten().map_or(0, |answer| answer.status())
+    };
+    assert_eq!([status(told(1 << 20)), status(chunked(1 << 20))], [200, 200]);
+    for large in [told(6 << 20), chunked(6 << 20)] {
+        assert!(matches!(status(large), 0 | 503));
+    }
+    assert_eq!(s.got().len(), 2, "the large ones went nowhere");
+    (0..20).for_each(|_| assert_eq!(status(chunked(1 << 20)), 200, "all room is given back"));
+}
