A body in chunks takes room as it comes

Cause: the room for bodies was taken by `Content-Length` before a body was read, and 64 kB for one that has none. What came beyond that was bounded by `max_body_bytes` alone, a body at a time.

Class: a bound on what is announced instead of on what is held.

Change: pieces are counted as they are read (`whole_counted`); the first that finds no room ends the reading, with 503 and when to come back. A body that tells its length takes its room ahead as before.

Looked for elsewhere: the core reads three bodies of 16 MB at a time, whatever they tell; heads are bounded by hyper's buffer. Left open: answers of servers (4 MB each at the most) are bounded one by one and not in sum; before a process is ready each connection may bring 64 kB.

--- a/comb/src/clients.rs
+++ b/comb/src/clients.rs
@@ -4,7 +4,7 @@
 use crate::transport::descriptors::Place;
 use crate::transport::ending::{Ending, Why};
 use crate::transport::heads::{Followed, Heads};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
@@ -326,18 +326,38 @@
     TooLong,
     /// Its framing is wrong, or its client has left.
     Broken,
+    /// There is no room for it now.
+    NoRoom,
 }
 
 /// Reads a body of `largest` bytes at most. One that tells ahead that it is longer is not read at all.
 pub async fn whole(body: Incoming, largest: usize) -> Result<Bytes, Unread> {
+    whole_counted(body, largest, |_| true).await
+}
+
+/// The same; `room` is told the bytes of each piece as it comes, and says whether there is room for it.
+pub async fn whole_counted(
+    body: Incoming,
+    largest: usize,
+    mut room: impl FnMut(usize) -> bool,
+) -> Result<Bytes, Unread> {
     if body.size_hint().lower() > largest as u64 {
         return Err(Unread::TooLong);
     }
-    match Limited::new(body, largest).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(Unread::TooLong),
-        Err(_) => Err(Unread::Broken),
+    let (mut body, mut read) = (Limited::new(body, largest), BytesMut::new());
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(e) if e.is::<LengthLimitError>() => return Err(Unread::TooLong),
+            Err(_) => return Err(Unread::Broken),
+        };
+        let Ok(piece) = frame.into_data() else { continue };
+        if !room(piece.len()) {
+            return Err(Unread::NoRoom);
+        }
+        read.extend_from_slice(&piece);
     }
+    Ok(read.freeze())
 }
 
 /// A header's value without the space around it; `None` too where it is no ASCII text.
--- a/example/src/http.rs
+++ b/example/src/http.rs
@@ -28,6 +28,13 @@
 
 /// The next message; `None` where the connection ends before one.
 pub fn read(from: &mut impl BufRead) -> io::Result<Option<Message>> {
+    let Some(mut m) = read_head(from)? else { return Ok(None) };
+    read_body(from, &mut m)?;
+    Ok(Some(m))
+}
+
+/// The next message without its body.
+pub fn read_head(from: &mut impl BufRead) -> io::Result<Option<Message>> {
     let mut m = Message::default();
     if from.read_line(&mut m.start)? == 0 {
         return Ok(None);
@@ -45,10 +52,14 @@
         let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
         m.headers.push((name.trim().to_ascii_lowercase(), value.trim().to_string()));
     }
+    Ok(Some(m))
+}
+
+/// The body of a message whose head was read.
+pub fn read_body(from: &mut impl BufRead, m: &mut Message) -> io::Result<()> {
     let length = m.header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
     m.body.resize(length, 0);
-    from.read_exact(&mut m.body)?;
-    Ok(Some(m))
+    from.read_exact(&mut m.body)
 }
 
 /// A connection of a client.
--- a/forager/src/door.rs
+++ b/forager/src/door.rs
@@ -9,7 +9,7 @@
 use hyper::{Request, Response, StatusCode};
 use lupinledge::link::NewReq;
 use lupinledge::time::Span;
-use lupinledge_comb::clients::{bare, say, text, whole, Answering, Reply, Unread};
+use lupinledge_comb::clients::{bare, say, text, whole, whole_counted, Answering, Reply, Unread};
 use lupinledge_comb::exchange::Answer;
 use lupinledge_comb::ids::Ids;
 use lupinledge_comb::transport::heads::Heads;
@@ -30,6 +30,9 @@
 /// Bytes of bodies that may be held at once, of the process's memory.
 const BODIES: f64 = 0.3;
 
+/// Seconds after which one whose body found no room may come back.
+const NO_ROOM: f64 = 0.2;
+
 /// For so many seconds at least, and up to 16,384 of them, the ids of requests that may run once are remembered.
 const REMEMBERED: f64 = 30.0;
 
@@ -85,9 +88,12 @@
         if told.is_some_and(|l| l > most) {
             return Err(large());
         }
-        let _room = self.room(told.unwrap_or(64 << 10))?;
-        let body = match tokio::time::timeout_at(by, whole(body, most as usize)).await {
+        // one that tells no length takes room as it comes
+        let mut room = self.room(told.unwrap_or(0))?;
+        let takes = |bytes: usize| told.is_some() || room.grow(bytes as u64);
+        let body = match tokio::time::timeout_at(by, whole_counted(body, most as usize, takes)).await {
             Ok(Ok(body)) => body,
+            Ok(Err(Unread::NoRoom)) => return Err(Box::new(later(NO_ROOM))),
             Ok(Err(Unread::TooLong)) => return Err(large()),
             Ok(Err(Unread::Broken)) => return Err(refuse(StatusCode::BAD_REQUEST, "body: broken")),
             Err(_) => return Err(refuse(StatusCode::REQUEST_TIMEOUT, "body: not there in time")),
@@ -152,18 +158,31 @@
     }
 
     fn room(&self, bytes: u64) -> Result<Room<'_>, Refusal> {
-        let left = self.room.get() - bytes.min(1 << 40) as i64;
-        if left < 0 {
-            return Err(Box::new(later(0.2)));
+        let mut room = Room(self, 0);
+        if !room.grow(bytes) {
+            return Err(Box::new(later(NO_ROOM)));
         }
-        self.room.set(left);
-        Ok(Room(self, bytes.min(1 << 40) as i64))
+        Ok(room)
     }
 }
 
 /// Room for a body, given back when dropped.
 struct Room<'a>(&'a Door, i64);
 
+impl Room<'_> {
+    /// Takes room for so many bytes more, if there is any.
+    fn grow(&mut self, bytes: u64) -> bool {
+        let bytes = bytes.min(1 << 40) as i64;
+        let left = self.0.room.get() - bytes;
+        if left < 0 {
+            return false;
+        }
+        self.0.room.set(left);
+        self.1 += bytes;
+        true
+    }
+}
+
 impl Drop for Room<'_> {
     fn drop(&mut self) {
         self.0.room.set(self.0.room.get() + self.1);
--- a/gateway/src/protocol/client.rs
+++ b/gateway/src/protocol/client.rs
@@ -181,6 +181,7 @@
     match unread {
         Unread::TooLong => say(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB"),
         Unread::Broken => say(StatusCode::BAD_REQUEST, "broken body"),
+        Unread::NoRoom => say(StatusCode::SERVICE_UNAVAILABLE, "no room for the body"),
     }
 }
 
--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -18,6 +18,12 @@
 /// Work is done in such slices, and the connection looked at between them.
 const SLICE: Duration = Duration::from_millis(10);
 
+/// One body of so many is long.
+const LONG_EACH: usize = 25;
+/// Bytes of bodies at the most.
+const SHORT: usize = 4000;
+const LONG: usize = 900_000;
+
 /// What a server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Deed {
@@ -37,6 +43,8 @@
     TurnAway,
     /// Answers, and sends one answer more that belongs to nobody.
     Surplus,
+    /// Answers before it has read the body.
+    Early,
 }
 
 /// How servers misbehave.
@@ -66,6 +74,7 @@
                 Deed::Fail,
                 Deed::TurnAway,
                 Deed::Surplus,
+                Deed::Early,
                 Deed::Answer(1200),
             ];
             return faults[(dice / 100 % faults.len() as u64) as usize];
@@ -74,14 +83,18 @@
     }
 }
 
-/// The body that belongs to a request.
+/// The body that belongs to a request; now and then a long one.
 pub fn body_for(id: &str) -> String {
-    format!("{id} {}", "z".repeat(hash(id) as usize % 5000))
+    let dice = hash(id) as usize;
+    let most = if dice.is_multiple_of(LONG_EACH) { LONG } else { SHORT };
+    format!("{id} {}", "z".repeat(dice / LONG_EACH % most))
 }
 
-/// The body that a client sends with a request.
+/// The body that a client sends with a request; now and then a long one.
 pub fn request_body(id: &str) -> String {
-    format!("{id} {}", "q".repeat(hash((id, 1)) as usize % 3000))
+    let dice = hash((id, 1)) as usize;
+    let most = if dice.is_multiple_of(LONG_EACH) { LONG } else { SHORT };
+    format!("{id} {}", "q".repeat(dice / LONG_EACH % most))
 }
 
 /// One server.
@@ -182,7 +195,7 @@
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut from = BufReader::new(stream);
-        while let Some(message) = http::read(&mut from)? {
+        while let Some(message) = self.read(&mut from)? {
             if self.dead.load(Ordering::SeqCst) {
                 return Ok(());
             }
@@ -196,6 +209,16 @@
         Ok(())
     }
 
+    /// A whole request, or only the head of one that is answered early.
+    fn read(&self, from: &mut BufReader<TcpStream>) -> io::Result<Option<Message>> {
+        let Some(mut message) = http::read_head(from)? else { return Ok(None) };
+        let id = message.header("lupinledge-attempt-id").unwrap_or_default();
+        if self.behaviour.deed(id) != Deed::Early {
+            http::read_body(from, &mut message)?;
+        }
+        Ok(Some(message))
+    }
+
     /// What of a request no client sent.
     fn fault(&self, message: &Message, id: &str) -> Option<&'static str> {
         let (path, body) = (message.start.split(' ').nth(1).unwrap_or_default(), message.text());
@@ -203,6 +226,7 @@
             m if m.header("authorization").is_some() => Some("a key was passed on"),
             m if m.header("lupinledge-tenant").is_none() => Some("no tenant"),
             _ if !path.ends_with(&format!("/{id}")) => Some("another path"),
+            _ if self.behaviour.deed(id) == Deed::Early => None,
             m if m.start.starts_with("POST ") && body != request_body(id) => Some("another body"),
             m if m.start.starts_with("GET ") && !body.is_empty() => Some("a body that was not sent"),
             _ => None,
@@ -290,6 +314,12 @@
                 let surplus = answer("200 OK", "of-nobody", stamp, &body_for("of-nobody"));
                 to.write_all((good + &surplus).as_bytes())?;
             }
+            Deed::Early => {
+                to.write_all(good.as_bytes())?;
+                // the rest of the body may come until the other side has had the answer
+                sleep(Duration::from_millis(300));
+                return Ok(false);
+            }
             Deed::Answer(_) | Deed::TurnAway => to.write_all(good.as_bytes())?,
         }
         Ok(true)
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -19,6 +19,8 @@
 pub const CORES: usize = 3;
 pub const EDGES: usize = 3;
 
+/// The last part of the addresses of machines that come later.
+const FIRST_SUCCESSOR: u8 = 50;
 /// The file with the ids of all processes started.
 const STARTED: &str = "started";
 
@@ -79,6 +81,15 @@
     nodes: Vec<Mutex<Node>>,
     /// Ends the processes should this one be killed.
     watchdog: Child,
+    /// How many successors of members of the core there were.
+    successors: AtomicU8,
+}
+
+/// A machine that is to take the place of a member of the core.
+pub struct Successor {
+    core: usize,
+    ip: Ipv4Addr,
+    child: Child,
 }
 
 #[derive(Clone, Copy)]
@@ -147,7 +158,16 @@
         let ips: Vec<Ipv4Addr> = nodes.iter().map(|n| lock(n).ip).collect();
         let ports = free_ports(&ips)?;
         let watchdog = watchdog(&folder)?;
-        Ok(Arc::new(Cluster { record, programs, folder, platform, ports, nodes, watchdog }))
+        Ok(Arc::new(Cluster {
+            record,
+            programs,
+            folder,
+            platform,
+            ports,
+            nodes,
+            watchdog,
+            successors: AtomicU8::new(0),
+        }))
     }
 
     fn node(&self, process: Process) -> MutexGuard<'_, Node> {
@@ -196,12 +216,13 @@
         self.folder.join(format!("{}.log", Self::name(process)))
     }
 
-    fn data(&self, process: Process) -> PathBuf {
-        self.folder.join(format!("{}.data", Self::name(process)))
+    /// The disk of the machine at an address.
+    fn data(&self, ip: Ipv4Addr) -> PathBuf {
+        self.folder.join(format!("{ip}.data"))
     }
 
-    fn settings_path(&self, process: Process) -> PathBuf {
-        self.folder.join(format!("{}.json", Self::name(process)))
+    fn settings_path(&self, ip: Ipv4Addr) -> PathBuf {
+        self.folder.join(format!("{ip}.json"))
     }
 
     /// The file that tells the programs which of them are cut off from each other.
@@ -209,7 +230,12 @@
         self.folder.join("cuts")
     }
 
-    fn settings(&self, process: Process, ip: Ipv4Addr, bootstrap: bool) -> Value {
+    /// Where the members of the core are called, as the operator's list has them now.
+    fn seeds(&self) -> Vec<SocketAddr> {
+        (0..CORES).map(|core| self.control(core)).collect()
+    }
+
+    fn settings(&self, process: Process, ip: Ipv4Addr, seeds: &[SocketAddr], bootstrap: bool) -> Value {
         let place = match process {
             Process::Core(i) | Process::Edge(i) => ZONES[i % ZONES.len()],
         };
@@ -220,13 +246,6 @@
             }
             Process::Edge(_) => json!({"front": at(self.ports.front), "ready": at(self.ports.ready)}),
         };
-        let seeds: Vec<SocketAddr> = (0..CORES)
-            .map(|core| {
-                // the node itself is locked by the caller
-                let last = ip.octets();
-                (Ipv4Addr::new(127, last[1], last[2], 1 + core as u8), self.ports.control).into()
-            })
-            .collect();
         let mut settings = json!({
             "node_name": Self::name(process), "ip": ip, "zone": place.0, "region": place.1,
             "zones": ZONES.into_iter().collect::<std::collections::BTreeMap<_, _>>(),
@@ -236,17 +255,17 @@
             "cloud_api": {"address": self.platform, "rate_per_s": 39.0},
         });
         if matches!(process, Process::Core(_)) {
-            settings["data_dir"] = json!(self.data(process));
+            settings["data_dir"] = json!(self.data(ip));
         }
         settings
     }
 
     /// Writes the settings file anew, whole or cut short.
     pub fn write_settings(&self, process: Process, whole: bool) -> eyre::Result<()> {
-        let ip = self.ip(process);
-        let text = self.settings(process, ip, false).to_string();
+        let (ip, seeds) = (self.ip(process), self.seeds());
+        let text = self.settings(process, ip, &seeds, false).to_string();
         let text = if whole { &text[..] } else { &text[..text.len() / 2] };
-        let (path, new) = (self.settings_path(process), self.settings_path(process).with_extension("new"));
+        let (path, new) = (self.settings_path(ip), self.settings_path(ip).with_extension("new"));
         fs::write(&new, text)?;
         fs::rename(new, path)?;
         Ok(())
@@ -254,15 +273,23 @@
 
     /// Starts a process that does not run.
     pub fn start(&self, process: Process, bootstrap: bool) -> eyre::Result<()> {
+        let ip = self.ip(process);
+        let child = self.spawn(process, ip, bootstrap)?;
         let mut node = self.node(process);
-        let path = self.settings_path(process);
-        fs::write(&path, self.settings(process, node.ip, bootstrap).to_string())?;
+        (node.child, node.ending) = (Some(child), false);
+        Ok(())
+    }
+
+    fn spawn(&self, process: Process, ip: Ipv4Addr, bootstrap: bool) -> eyre::Result<Child> {
+        let path = self.settings_path(ip);
+        let seeds = self.seeds();
+        fs::write(&path, self.settings(process, ip, &seeds, bootstrap).to_string())?;
         let program = match process {
             Process::Core(_) => &self.programs.core,
             Process::Edge(_) => &self.programs.edge,
         };
         if matches!(process, Process::Core(_)) {
-            fs::create_dir_all(self.data(process))?;
+            fs::create_dir_all(self.data(ip))?;
         }
         let log: File = OpenOptions::new().create(true).append(true).open(self.log(process))?;
         let mut command = Command::new(program);
@@ -271,9 +298,27 @@
         let child = command.spawn().wrap_err_with(|| program.display().to_string())?;
         let mut started = OpenOptions::new().append(true).open(self.folder.join(STARTED))?;
         writeln!(started, "{}", child.id())?;
-        node.child = Some(child);
-        node.ending = false;
-        Ok(())
+        Ok(child)
+    }
+
+    /// Starts an empty machine at a new address in the place of a member of the core, which goes on until
+    /// [`Cluster::take_place`]; where it is.
+    pub fn start_successor(&self, core: usize) -> eyre::Result<Successor> {
+        let [a, b, c, _] = self.ip(Process::Core(core)).octets();
+        let ip = Ipv4Addr::new(a, b, c, FIRST_SUCCESSOR + self.successors.fetch_add(1, Ordering::SeqCst));
+        let child = self.spawn(Process::Core(core), ip, false)?;
+        Ok(Successor { core, ip, child })
+    }
+
+    /// Whether a successor counts in the core.
+    pub fn counts(&self, successor: &Successor) -> bool {
+        self.metric_at((successor.ip, self.ports.control).into(), "core.member") == Some(1)
+    }
+
+    /// From here on the successor is that member of the core; the one before has ended.
+    pub fn take_place(&self, successor: Successor) {
+        let mut node = self.node(Process::Core(successor.core));
+        (node.ip, node.child, node.ending) = (successor.ip, Some(successor.child), false);
     }
 
     /// Sends a signal to a process that runs.
@@ -310,7 +355,7 @@
 
     /// Removes what a process that does not run had on its disk.
     pub fn wipe(&self, process: Process) -> eyre::Result<()> {
-        fs::remove_dir_all(self.data(process)).wrap_err("wipe")
+        fs::remove_dir_all(self.data(self.ip(process))).wrap_err("wipe")
     }
 
     /// Notes each process that ended without having been told to.
@@ -341,7 +386,11 @@
             Process::Core(_) => self.ports.control,
             Process::Edge(_) => self.ports.ready,
         };
-        let text = self.get((ip, port).into(), "/lupinledge/metrics")?.text();
+        self.metric_at((ip, port).into(), name)
+    }
+
+    fn metric_at(&self, at: SocketAddr, name: &str) -> Option<u64> {
+        let text = self.get(at, "/lupinledge/metrics")?.text();
         text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
     }
 
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -16,6 +16,9 @@
 const SPELL: std::ops::Range<u64> = 4..9;
 const CALM: std::ops::Range<u64> = 4..8;
 
+/// A successor is waited for so long before the one that it follows is told to end.
+const SUCCESSION: Duration = Duration::from_secs(3);
+
 /// A kind of trouble.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -30,6 +33,9 @@
     FreezeCore,
     RestartCore,
     WipeCore,
+    ReplaceCore,
+    LoseCore,
+    FreezeAny,
     CutEdge,
     CutCore,
     CutServices,
@@ -39,7 +45,7 @@
     SilencePlatform,
 }
 
-const KINDS: [Kind; 18] = [
+const KINDS: [Kind; 21] = [
     Kind::KillEdge,
     Kind::FreezeEdge,
     Kind::RestartEdge,
@@ -51,6 +57,9 @@
     Kind::FreezeCore,
     Kind::RestartCore,
     Kind::WipeCore,
+    Kind::ReplaceCore,
+    Kind::LoseCore,
+    Kind::FreezeAny,
     Kind::CutEdge,
     Kind::CutCore,
     Kind::CutServices,
@@ -157,6 +166,15 @@
             Kind::ReloadEdge => self.reload(edge, rng.bool()),
             Kind::ReloadCore => self.reload(core, rng.bool()),
             Kind::WipeCore => self.wipe(core, down),
+            Kind::ReplaceCore => self.replace(rng.usize(0..CORES), true, down),
+            Kind::LoseCore => self.replace(rng.usize(0..CORES), false, down),
+            Kind::FreezeAny => {
+                let any: Vec<Process> = Cluster::processes().collect();
+                self.freeze_within_others(
+                    any[rng.usize(0..any.len())],
+                    Duration::from_millis(rng.u64(50..1200)),
+                );
+            }
             Kind::CutEdge => self.cut(edge, (0..CORES).map(Process::Core).collect(), frozen),
             Kind::CutCore => self.cut(core, (0..CORES).map(Process::Core).collect(), frozen),
             Kind::CutServices => self.cut(core, Cluster::processes().collect(), frozen),
@@ -197,12 +215,24 @@
         self.record.over(note);
     }
 
+    /// Freezes a process that other troubles may have in hand: one that starts, or that was asked to end.
+    fn freeze_within_others(&self, process: Process, span: Duration) {
+        let note = self.note("freeze", process, false);
+        self.cluster.signal(process, Signal::Stop);
+        sleep(span);
+        self.cluster.signal(process, Signal::Continue);
+        self.record.over(note);
+    }
+
     fn restart(&self, process: Process, down: Duration) {
         let Some(_claim) = self.claim(process) else { return };
         let note = self.note("terminate", process, true);
-        if let Some((took, in_order)) = self.cluster.terminate(process) {
-            if !in_order || self.timed && took.as_secs_f64() > bounds::GRACE {
-                let took = took.as_secs_f64();
+        let asked = self.record.now();
+        let ended = self.cluster.terminate(process);
+        let disturbed = self.record.disturbed(process, asked);
+        if let Some((took, in_order)) = ended.filter(|_| !disturbed) {
+            let took = took.as_secs_f64();
+            if !in_order || self.timed && took > bounds::GRACE {
                 self.record
                     .violation(format!("LOST: {process:?} took {took:.1} s to end, in order: {in_order}"));
             }
@@ -228,13 +258,49 @@
         self.record.over(note);
     }
 
-    /// A member of the core loses its disk, if all others are sound members: no more than one is to be lost at once.
-    fn wipe(&self, core: Process, down: Duration) {
+    /// The whole core, if all of it is sound and in no other trouble's hands: no more than one disk is to be lost at
+    /// once.
+    fn claim_sound_core(&self) -> Option<Vec<Claim<'_>>> {
         let claims: Vec<Claim> = (0..CORES).filter_map(|i| self.claim(Process::Core(i))).collect();
-        let member = |c: &Claim| self.cluster.metric(c.1, "core.member") == Some(1);
-        if claims.len() < CORES || !claims.iter().all(member) {
-            return;
+        let counts = |c: &Claim| {
+            let members = self.cluster.metric(c.1, "core.members");
+            self.cluster.metric(c.1, "core.member") == Some(1) && members == Some(CORES as u64)
+        };
+        (claims.len() == CORES && claims.iter().all(counts)).then_some(claims)
+    }
+
+    /// A member of the core is replaced by an empty machine at another address: as planned, the new one first and the
+    /// old one told to end, or lost for good before.
+    fn replace(&self, core: usize, planned: bool, down: Duration) {
+        let Some(claims) = self.claim_sound_core() else { return };
+        let process = Process::Core(core);
+        let note = self.note(if planned { "replace" } else { "lose for good" }, process, false);
+        if !planned {
+            self.cluster.kill(process);
+            sleep(down);
+        }
+        let claims: Vec<Claim> = claims.into_iter().filter(|c| c.1 == process).collect();
+        let successor = match self.cluster.start_successor(core) {
+            Ok(successor) => successor,
+            Err(e) => return self.record.violation(format!("harness: successor: {e:#}")),
+        };
+        if planned {
+            // as a platform would: the old one is told to end a while after the new one was started
+            let began = Instant::now();
+            while !self.cluster.counts(&successor) && began.elapsed() < SUCCESSION {
+                sleep(Duration::from_millis(50));
+            }
+            // whatever else befalls it, it is gone after this
+            let _ = self.cluster.terminate(process);
         }
+        self.cluster.take_place(successor);
+        self.record.over(note);
+        drop(claims);
+    }
+
+    /// A member of the core loses its disk.
+    fn wipe(&self, core: Process, down: Duration) {
+        let Some(claims) = self.claim_sound_core() else { return };
         let note = self.note("wipe", core, false);
         self.cluster.kill(core);
         if let Err(e) = self.cluster.wipe(core) {
@@ -285,8 +351,7 @@
         };
         let wiped = rng.bool().then(|| Process::Core(rng.usize(0..CORES)));
         // a disk may be lost only where the one before was made up for
-        let sound = (0..CORES).all(|i| self.cluster.metric(Process::Core(i), "core.member") == Some(1));
-        let wiped = wiped.filter(|_| sound);
+        let wiped = wiped.filter(|_| self.claim_sound_core().is_some());
         let notes: Vec<usize> = victims.iter().map(|v| self.note("closing fault", *v, false)).collect();
         victims.iter().for_each(|v| self.cluster.signal(*v, Signal::Kill));
         victims.iter().for_each(|v| self.cluster.kill(*v));
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -149,6 +149,12 @@
         seen.troubles.len() - 1
     }
 
+    /// Whether anything unplanned befell a process since then.
+    pub fn disturbed(&self, process: Process, since: Seconds) -> bool {
+        let of = |t: &Trouble| t.process == Some(process) && !t.planned && t.until >= since;
+        self.seen().troubles.iter().any(of)
+    }
+
     /// A trouble has ended.
     pub fn over(&self, trouble: usize) {
         let now = self.now();
