--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -404,3 +404,25 @@
     assert_eq!(s.got().len(), 2, "the large ones went nowhere");
     (0..20).for_each(|_| assert_eq!(status(chunked(1 << 20)), 200, "all room is given back"));
 }
+
+/// Each part of a split gets its share of any three hundred requests in a row, not only of very many.
+#[test]
+fn a_split_keeps_its_shares() {
+    let (a, b) = (srv("i-a", GOOD), srv("i-b", GOOD));
+    let mut split = config();
+    let action = &mut split["listeners"][0]["rules"][0]["action"];
+    action["split"] = json!([{"service": "a", "weight": 70}, {"service": "b", "weight": 30}]);
+    action.as_object_mut().expect("an action").remove("service");
+    let f = Fleet::with(vec![row(&a, "a"), row(&b, "b")], &split, json!({}));
+    let mut client = Client::to(f.front).expect("a connection");
+    let went_to_a: Vec<bool> = (0..900)
+        .map(|_| {
+            let answer = client.ask(req("GET /read/x", "key", "", "").1.as_bytes());
+            answer.expect("no break").expect("an answer").text().starts_with("i-a")
+        })
+        .collect();
+    for window in went_to_a.windows(300) {
+        let share = window.iter().filter(|a| **a).count() as f64 / 300.0;
+        assert!((share - 0.7).abs() < 0.02, "{share}");
+    }
+}
