--- a/forager/src/door.rs
+++ b/forager/src/door.rs
@@ -30,6 +30,9 @@
 /// Bytes of bodies that may be held at once, of the process's memory.
 const BODIES: f64 = 0.3;
 
+/// The golden section: steps of it, taken round a circle, lie as evenly as can be after any number of them.
+const GOLDEN_SECTION: f64 = 0.618_033_988_749_894_9;
+
 /// Seconds after which one whose body found no room may come back.
 const NO_ROOM: f64 = 0.2;
 
@@ -42,7 +45,8 @@
     /// Those that may have run.
     ids: RefCell<Ids>,
     failures: Failures,
-    rng: RefCell<fastrand::Rng>,
+    /// Where the last request fell between the parts of a split, from 0 to 1.
+    split: Cell<f64>,
     /// Bytes of bodies that may still come in.
     room: Cell<i64>,
     pub closing: Cell<bool>,
@@ -54,9 +58,9 @@
 impl Door {
     pub fn new(pools: Rc<Pools>, memory_mb: f64, seed: u64) -> Rc<Door> {
         let room = (memory_mb * 1e6 * BODIES) as i64;
-        let (rng, room, closing) =
-            (RefCell::new(fastrand::Rng::with_seed(seed)), Cell::new(room), Cell::new(false));
-        Rc::new(Door { pools, ids: RefCell::default(), failures: Failures::default(), rng, room, closing })
+        let split = Cell::new(fastrand::Rng::with_seed(seed).f64());
+        let (room, closing) = (Cell::new(room), Cell::new(false));
+        Rc::new(Door { pools, ids: RefCell::default(), failures: Failures::default(), split, room, closing })
     }
 
     async fn read(&self, req: Request<Incoming>, heads: &Heads, by: Instant) -> Result<Reply, Refusal> {
@@ -108,7 +112,7 @@
         if let Some(fault) = heads.fault() {
             return Err(refuse(StatusCode::BAD_REQUEST, fault));
         }
-        let service = route.choose(self.rng.borrow_mut().f64()).and_then(|i| tables.services().get(i));
+        let service = route.choose(self.next_of_split()).and_then(|i| tables.services().get(i));
         let pool = service.and_then(|s| self.pools.pool(&s.name, route, tenant));
         let Some((pool, frontend, plan)) = pool else { return Ok(later(0.5)) };
         let left = Span::from_secs(left.min(route.timeout)) - (self.pools.clock.now() - came);
@@ -157,6 +161,14 @@
         Ok(reply)
     }
 
+    /// Evenly spread numbers from 0 to 1: each part of a split gets its share of any few hundred requests, which
+    /// numbers drawn by chance give it only of many thousands.
+    fn next_of_split(&self) -> f64 {
+        let next = (self.split.get() + GOLDEN_SECTION).fract();
+        self.split.set(next);
+        next
+    }
+
     fn room(&self, bytes: u64) -> Result<Room<'_>, Refusal> {
         let mut room = Room(self, 0);
         if !room.grow(bytes) {
