Packages `wax` and `dance` are `messaging` and `gossip`; the soak keeps a timeline

A broken soak run left logs without a time, and nothing that told what befell whom when.

`soak` writes `timeline` beside the logs.

--- a/apiary/src/process.rs
+++ b/apiary/src/process.rs
@@ -37,7 +37,7 @@
     Later,
 }
 
-/// What goes over the network. The programs have these as words of `wax`.
+/// What goes over the network. The programs have these as words of `messaging`.
 #[derive(Clone)]
 pub enum Say {
     /// Membership and news.
--- a/drone/src/cost.rs
+++ b/drone/src/cost.rs
@@ -2,11 +2,11 @@
 
 use crate::gauge::HEAP;
 use crate::size::Size;
+use lupinledge_messaging::list::List;
+use lupinledge_messaging::{decode, encode, parts, Word};
 use lupinledge_nectar::duty::{Duty, Seen};
 use lupinledge_nectar::own::Own;
 use lupinledge_propolis::{Config, Document, Part, Tables, Verdict};
-use lupinledge_wax::list::List;
-use lupinledge_wax::{decode, encode, parts, Word};
 use std::hint::black_box;
 use std::time::Instant;
 
--- a/drone/src/size.rs
+++ b/drone/src/size.rs
@@ -1,7 +1,7 @@
 //! The size of a deployment, and made-up configurations, lists and settings of that size.
 
 use eyre::ensure;
-use lupinledge_wax::list::Row;
+use lupinledge_messaging::list::Row;
 use pico_args::Arguments;
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
--- a/drone/src/tally.rs
+++ b/drone/src/tally.rs
@@ -1,7 +1,7 @@
 //! Messages and bytes by kind, and by where they went.
 
+use lupinledge_messaging::{encode, Word};
 use lupinledge_waggle::Body;
-use lupinledge_wax::{encode, Word};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
--- a/drone/tests/hollow.rs
+++ b/drone/tests/hollow.rs
@@ -2,9 +2,9 @@
 
 use lupinledge_drone::hollow::Hollow;
 use lupinledge_drone::size::Size;
+use lupinledge_messaging::{Post, Word};
 use lupinledge_propolis::{Document, Verdict};
 use lupinledge_waggle::{Digest, Node};
-use lupinledge_wax::{Post, Word};
 use serde_bytes::ByteBuf;
 use std::cell::RefCell;
 use std::net::{Ipv4Addr, TcpListener};
@@ -52,7 +52,7 @@
 
         let Verdict::Take(document) = Document::default().put(&size.config(1, 0)) else { panic!("refused") };
         let mut bytes = Vec::new();
-        lupinledge_wax::encode(&document, &mut bytes).expect("a document");
+        lupinledge_messaging::encode(&document, &mut bytes).expect("a document");
         let digest = Digest { epoch: 3, holder: ip(0).into(), state: (3, 5), ..Digest::default() };
         let news = Word::News { digest, state: Some(((3, 5), ByteBuf::from(bytes))), list: None };
         core.send(ip(2).into(), &news);
--- a/drone/tests/size.rs
+++ b/drone/tests/size.rs
@@ -1,8 +1,8 @@
 //! The made-up configurations and lists are what the system takes, at the size that was asked for.
 
 use lupinledge_drone::size::Size;
+use lupinledge_messaging::list::List;
 use lupinledge_propolis::{Document, Tables, Verdict};
-use lupinledge_wax::list::List;
 
 fn small() -> Size {
     Size { gateways: 3, servers: 40, services: 5, routes: 23, tenants: 70, regions: 2, zones: 7 }
--- a/drone/tests/tally.rs
+++ b/drone/tests/tally.rs
@@ -1,8 +1,8 @@
 //! What is told apart, and what it is taken to weigh.
 
 use lupinledge_drone::tally::{headers, payload, Kind, Line, Sums, With};
+use lupinledge_messaging::{encode, Patched, Word};
 use lupinledge_waggle::{Body, Digest, Packet};
-use lupinledge_wax::{encode, Patched, Word};
 use serde_bytes::ByteBuf;
 
 fn probe(body: Body) -> Word {
--- a/forager/src/guard.rs
+++ b/forager/src/guard.rs
@@ -5,7 +5,7 @@
 use crate::nest::Nest;
 use crate::pools::Pools;
 use lupinledge_comb::clients::Clients;
-use lupinledge_dance::Dance;
+use lupinledge_gossip::Gossip;
 use lupinledge_propolis::{Part, Tables, DRIFTS};
 use lupinledge_sentry::{verdict::compare, Act, Audit, Finding, Own, Settings, Watch};
 use lupinledge_waggle::Rules;
@@ -24,7 +24,7 @@
 /// See the module.
 pub struct Guard {
     nest: Rc<Nest>,
-    dance: Rc<Dance>,
+    gossip: Rc<Gossip>,
     pools: Rc<Pools>,
     ready: Rc<Cell<bool>>,
     clients: Rc<Clients<Door>>,
@@ -39,16 +39,16 @@
 impl Guard {
     pub fn new(
         nest: Rc<Nest>,
-        dance: Rc<Dance>,
+        gossip: Rc<Gossip>,
         pools: Rc<Pools>,
         ready: Rc<Cell<bool>>,
         clients: Rc<Clients<Door>>,
         seed: u64,
     ) -> Guard {
-        let watch = Watch::new(dance.now(), Settings::new(nest.settings().bounds.config_apply_s));
+        let watch = Watch::new(gossip.now(), Settings::new(nest.settings().bounds.config_apply_s));
         let audit = Audit::new(seed);
         let looked = pools.tables();
-        Guard { nest, dance, pools, ready, clients, audit, watch, turns: 0, looked, doubted: None }
+        Guard { nest, gossip, pools, ready, clients, audit, watch, turns: 0, looked, doubted: None }
     }
 
     /// Watches for good. Tests have the tables changed at SIGUSR1, by what that file says.
@@ -84,11 +84,11 @@
             let stray = looks.then(|| self.pools.stray((self.turns / TERMS) as usize)).flatten();
             stray.map(|(part, name)| Finding { part, names: vec![name] })
         });
-        let (index, print) = (self.dance.held(|h| h.digest().state.1), self.audit.live().folded());
-        self.dance.set_print(index, print);
+        let (index, print) = (self.gossip.held(|h| h.digest().state.1), self.audit.live().folded());
+        self.gossip.set_print(index, print);
         let own = Own { index, print, fault: found.as_ref().map(|f| f.part), sound: self.audit.sound() };
-        let (now, holder) = (self.dance.now(), self.dance.held(|h| h.epoch().1));
-        let others = self.dance.with(|s| compare(now, &own, holder, s.members()));
+        let (now, holder) = (self.gossip.now(), self.gossip.held(|h| h.epoch().1));
+        let others = self.gossip.with(|s| compare(now, &own, holder, s.members()));
         for act in self.watch.look(now, &own, &others) {
             self.act(act, index, found.as_ref(), &tables);
         }
@@ -107,12 +107,12 @@
                 tracing::warn!(event = "out", judge = judge_name, times, hold);
                 self.doubted = Some((tables.clone(), judge_name));
                 self.ready.set(false);
-                self.pools.set_shut(Some(self.watch.hint(self.dance.now())));
+                self.pools.set_shut(Some(self.watch.hint(self.gossip.now())));
                 self.clients.closing();
                 let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
                 let (part, print) = (part.map_or(u8::MAX, |p| p as u8), self.audit.live().parts());
                 let rules = Rules { index, print, part, judge: judge as u8, times: times as u16, since };
-                self.dance.set_card(|c| (c.ready, c.rules) = (false, Some(Box::new(rules))));
+                self.gossip.set_card(|c| (c.ready, c.rules) = (false, Some(Box::new(rules))));
             }
             Act::Rebuild => self.nest.rebuild(),
             Act::Afresh => self.nest.afresh(self.pools.shut().0.is_some()),
@@ -122,7 +122,7 @@
                 self.clients.reopen();
                 self.ready.set(true);
             }
-            Act::Open => self.dance.set_card(|c| (c.ready, c.rules) = (true, None)),
+            Act::Open => self.gossip.set_card(|c| (c.ready, c.rules) = (true, None)),
         }
     }
 
--- a/forager/src/main.rs
+++ b/forager/src/main.rs
@@ -12,7 +12,7 @@
 mod terms;
 mod wire;
 
-use lupinledge_dance::cli::{self, About};
+use lupinledge_gossip::cli::{self, About};
 
 fn main() -> std::process::ExitCode {
     let (name, version) = ("lupinledge-forager", env!("CARGO_PKG_VERSION"));
--- a/forager/src/metrics.rs
+++ b/forager/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use crate::nest::Nest;
 use crate::pools::Pools;
-use lupinledge_dance::metrics;
+use lupinledge_gossip::metrics;
 use std::cell::OnceCell;
 use std::rc::Rc;
 
--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -2,14 +2,14 @@
 
 use crate::ledger::Ledger;
 use crate::pools::Pools;
-use lupinledge_dance::metrics::Line;
-use lupinledge_dance::{seeds_of, Dance, Host, News};
+use lupinledge_gossip::metrics::Line;
+use lupinledge_gossip::{seeds_of, Gossip, Host, News};
 use lupinledge_invariants::{check, Invariant};
+use lupinledge_messaging::clock::{Asked, Estimate};
+use lupinledge_messaging::list::List;
+use lupinledge_messaging::{decode, Node, Word};
 use lupinledge_propolis::{Config, Document, Settings, Tables};
 use lupinledge_waggle::{Member, Standing};
-use lupinledge_wax::clock::{Asked, Estimate};
-use lupinledge_wax::list::List;
-use lupinledge_wax::{decode, Node, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -27,10 +27,10 @@
 const JOIN: f64 = 0.25;
 const TAKEOVER: f64 = 1.7;
 
-/// Before the clock is known there are no pools; news wait for them in the dance.
+/// Before the clock is known there are no pools; news wait for them in the gossip.
 pub struct Nest {
     settings: RefCell<Rc<Settings>>,
-    dance: Rc<Dance>,
+    gossip: Rc<Gossip>,
     ledger: Rc<Ledger>,
     pools: RefCell<Option<Rc<Pools>>>,
     estimate: RefCell<Estimate>,
@@ -45,11 +45,11 @@
 }
 
 impl Nest {
-    pub fn new(settings: Rc<Settings>, dance: Rc<Dance>, ledger: Rc<Ledger>) -> Rc<Nest> {
+    pub fn new(settings: Rc<Settings>, gossip: Rc<Gossip>, ledger: Rc<Ledger>) -> Rc<Nest> {
         let (pools, estimate) = (RefCell::default(), RefCell::default());
         let nest = Rc::new(Nest {
             settings: RefCell::new(settings),
-            dance,
+            gossip,
             ledger,
             pools,
             estimate,
@@ -61,7 +61,7 @@
             woken: Notify::new(),
         });
         let host: Rc<dyn Host> = nest.clone();
-        nest.dance.attend(Rc::downgrade(&host));
+        nest.gossip.attend(Rc::downgrade(&host));
         nest
     }
 
@@ -73,7 +73,7 @@
     /// Goes by other settings from here on: by their seeds and bounds. Sockets, zones, and what the process may use
     /// stay as at the start.
     pub fn retell(&self, settings: Settings) {
-        self.dance.retell(&settings);
+        self.gossip.retell(&settings);
         let zones = self.settings().zones.clone();
         let settings = Rc::new(Settings { zones, ..settings });
         *self.settings.borrow_mut() = settings.clone();
@@ -87,14 +87,14 @@
         let began = Instant::now();
         let (mut asked, mut again) = (0, began);
         loop {
-            if let Some(now) = self.estimate.borrow().theirs(self.dance.now()) {
+            if let Some(now) = self.estimate.borrow().theirs(self.gossip.now()) {
                 return lupinledge_comb::clock::Clock::showing(now);
             }
             if began.elapsed() > most {
                 tracing::warn!(event = "clock", from = "own");
                 return lupinledge_comb::clock::Clock::start();
             }
-            let holder = self.dance.held(|h| h.epoch().1);
+            let holder = self.gossip.held(|h| h.epoch().1);
             if Instant::now() >= again || holder != asked {
                 (asked, again) = (holder, Instant::now() + ASK);
                 self.ask(holder);
@@ -107,28 +107,28 @@
         let mut hives = seeds_of(&self.settings());
         hives.push(holder);
         let there = |m: &&Member| m.card.core && m.standing == Standing::Alive && m.heard.is_finite();
-        let there: Vec<Node> = self.dance.with(|s| s.members().filter(there).map(|m| m.node).collect());
+        let there: Vec<Node> = self.gossip.with(|s| s.members().filter(there).map(|m| m.node).collect());
         hives.extend(&there);
         hives.sort_unstable();
         hives.dedup();
-        let sent = self.dance.now();
+        let sent = self.gossip.now();
         self.asked.borrow_mut().ask(sent);
         for hive in hives.into_iter().filter(|h| *h != 0) {
-            self.dance.post().cast(hive, &Word::Clock { sent });
+            self.gossip.post().cast(hive, &Word::Clock { sent });
         }
         // also, from here on there is a link for the news; to one that may be down it would hang for long
         let mut linked = self.linked.borrow_mut();
-        let own = self.dance.held(|h| h.digest());
+        let own = self.gossip.held(|h| h.digest());
         there
             .into_iter()
             .filter(|h| linked.insert(*h))
-            .for_each(|h| self.dance.post().send(h, &Word::Want(own)));
+            .for_each(|h| self.gossip.post().send(h, &Word::Want(own)));
     }
 
     /// In how many seconds this process may be ready, by what it has heard yet.
     pub fn soon(&self) -> f64 {
-        match self.dance.held(|h| h.epoch().1) {
-            0 => (TAKEOVER - self.dance.now()).max(2.0 * JOIN),
+        match self.gossip.held(|h| h.epoch().1) {
+            0 => (TAKEOVER - self.gossip.now()).max(2.0 * JOIN),
             _ => JOIN,
         }
     }
@@ -136,7 +136,7 @@
     /// From here on news go to the pools; what is held already does at once.
     pub fn open(&self, pools: Rc<Pools>) {
         *self.pools.borrow_mut() = Some(pools);
-        let newest = self.dance.held(|h| h.newest().clone());
+        let newest = self.gossip.held(|h| h.newest().clone());
         self.news(newest);
     }
 
@@ -144,7 +144,7 @@
     pub async fn upkeep(self: Rc<Self>) {
         loop {
             if let Some(pools) = &*self.pools.borrow() {
-                pools.among(self.dance.edges(LATELY).max(1));
+                pools.among(self.gossip.edges(LATELY).max(1));
                 pools.lapse();
             }
             tokio::time::sleep(UPKEEP).await;
@@ -154,9 +154,9 @@
     /// Figures of what is held and of the messages between own processes.
     pub fn figures(&self, line: &mut Line) {
         line("document.serial", self.serial.get());
-        line("counters.epoch", self.dance.held(|h| h.epoch().0));
-        line("gateways", self.dance.edges(LATELY) as u64);
-        self.dance.figures(line);
+        line("counters.epoch", self.gossip.held(|h| h.epoch().0));
+        line("gateways", self.gossip.edges(LATELY) as u64);
+        self.gossip.figures(line);
     }
 
     /// What was read of the document in force.
@@ -181,7 +181,7 @@
     /// Asks for the document; it will be taken again. `any`: also one that is older than that in force.
     pub fn afresh(&self, any: bool) {
         self.serial.set(if any { 0 } else { self.serial.get().saturating_sub(1) });
-        self.dance.afresh();
+        self.gossip.afresh();
     }
 
     fn built(&self, bytes: &[u8]) -> Result<(Document, Tables), String> {
@@ -235,7 +235,7 @@
             Word::Counted { tag, round, totals } => self.ledger.counted(from, tag, round, &totals),
             Word::Hold { epoch } => self.ledger.asked(epoch, from),
             Word::ClockIs { sent, hive } if self.asked.borrow().was(sent) => {
-                self.estimate.borrow_mut().sample(sent, hive, self.dance.now());
+                self.estimate.borrow_mut().sample(sent, hive, self.gossip.now());
                 self.woken.notify_one();
             }
             _ => {}
--- a/forager/src/start.rs
+++ b/forager/src/start.rs
@@ -11,7 +11,7 @@
 use lupinledge_comb::clients::{Answering, ClientBounds, Clients};
 use lupinledge_comb::transport::descriptors::Share;
 use lupinledge_comb::transport::listen::Gate;
-use lupinledge_dance::{log, settings, Dance};
+use lupinledge_gossip::{log, settings, Gossip};
 use lupinledge_propolis::Settings;
 use lupinledge_waggle::Card;
 use std::cell::Cell;
@@ -94,14 +94,14 @@
         rules: None,
         load: 0,
     };
-    let dance = Dance::open(&told, card, true).wrap_err("`port_range`")?;
-    let ledger = Ledger::start(dance.post().clone(), (seed / 1000) as u16 ^ (seed >> 32) as u16);
-    let nest = Nest::new(told.clone(), dance.clone(), ledger.clone());
+    let gossip = Gossip::open(&told, card, true).wrap_err("`port_range`")?;
+    let ledger = Ledger::start(gossip.post().clone(), (seed / 1000) as u16 ^ (seed >> 32) as u16);
+    let nest = Nest::new(told.clone(), gossip.clone(), ledger.clone());
     let metrics = Metrics::new(nest.clone());
     let ready_answers = Rc::new(Ready { flag: ready.clone(), metrics: metrics.clone() });
     let ready_side = Clients::start(ready_answers, counters.clone(), bounds(3.0, 15.0, 8 << 10));
     tokio::task::spawn_local(async move { accept(&ready_gate, &ready_side, &ready_places).await });
-    tokio::task::spawn_local(dance.clone().run());
+    tokio::task::spawn_local(gossip.clone().run());
     let (follows, drifts) = (nest.clone(), path.with_extension("drift"));
     // from the start on: other seeds may be what it takes to get ready
     tokio::task::spawn_local(settings::watch(path, hangup, move |s| {
@@ -140,7 +140,7 @@
     let door = Door::new(pools.clone(), told.limits.memory_mb, seed);
     let clients = Clients::start(door, pools.counters.clone(), bounds(3.0, 15.0, 16 << 10));
     ready.set(true);
-    dance.set_card(|card| card.ready = true);
+    gossip.set_card(|card| card.ready = true);
     tracing::info!(event = "ready", version = pools.tables().version());
 
     let (c, p, woken) = (clients.clone(), pools.clone(), nest.clone());
@@ -155,7 +155,7 @@
         }
     });
 
-    let guard = Guard::new(nest.clone(), dance.clone(), pools.clone(), ready.clone(), clients.clone(), seed);
+    let guard = Guard::new(nest.clone(), gossip.clone(), pools.clone(), ready.clone(), clients.clone(), seed);
     let guard = tokio::task::spawn_local(guard.run(drifts));
     tokio::select! {
         _ = accept(&gate, &clients, &client_places) => {}
@@ -167,7 +167,7 @@
     let grace = nest.settings().bounds.grace_s;
     tracing::info!(event = "ending", unanswered = pools.unanswered());
     ready.set(false);
-    dance.set_card(|card| (card.ready, card.leaving) = (false, true));
+    gossip.set_card(|card| (card.ready, card.leaving) = (false, true));
     // clients that still have this address find it open while they learn another one
     clients.closing();
     let _ = timeout(Duration::from_secs_f64(grace * STAY), accept(&gate, &clients, &client_places)).await;
--- a/forager/tests/rules/callers.rs
+++ b/forager/tests/rules/callers.rs
@@ -8,7 +8,7 @@
 use crate::{ms, srv};
 use lupinledge_example::door::Door;
 use lupinledge_example::http::{Client, Message};
-use lupinledge_wax::list::Row;
+use lupinledge_messaging::list::Row;
 use socket2::SockRef;
 use std::collections::BTreeMap;
 use std::io::Read;
--- a/forager/tests/rules/hive.rs
+++ b/forager/tests/rules/hive.rs
@@ -1,12 +1,12 @@
 //! A stand-in for the hive: one process that holds the duty, tells documents and lists of servers, counts, and shows
-//! its clock. It dances with the system's own parts.
+//! its clock. It gossips with the system's own parts.
 
-use lupinledge_dance::{Dance, Host, News};
+use lupinledge_gossip::{Gossip, Host, News};
+use lupinledge_messaging::list::{List, Row};
+use lupinledge_messaging::{encode, epoch, parts, round, units, Node, Word};
 use lupinledge_propolis::{Document, Settings, Tables};
 use lupinledge_queen::Ballot;
 use lupinledge_waggle::{Card, Source};
-use lupinledge_wax::list::{List, Row};
-use lupinledge_wax::{encode, epoch, parts, round, units, Node, Word};
 use serde_bytes::ByteBuf;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -60,9 +60,9 @@
     pub counts: Arc<Counts>,
 }
 
-/// Answers the words that are not of the dance.
+/// Answers the words that are not of the gossip.
 struct Holder {
-    dance: Rc<Dance>,
+    gossip: Rc<Gossip>,
     totals: RefCell<BTreeMap<u64, f64>>,
     kept: RefCell<Vec<Word>>,
     counts: Arc<Counts>,
@@ -72,7 +72,7 @@
     fn news(&self, _: News) {}
     fn word(&self, from: Node, word: Word) {
         let answer = match word {
-            Word::Clock { sent } => Word::ClockIs { sent, hive: 1000.0 + self.dance.now() },
+            Word::Clock { sent } => Word::ClockIs { sent, hive: 1000.0 + self.gossip.now() },
             Word::Count { tag, calls, .. } => {
                 let mut sums = self.totals.borrow_mut();
                 let add = |(name, sum, _): (u64, i64, u16)| {
@@ -87,7 +87,7 @@
                 let totals = calls.into_iter().map(add).collect();
                 let newest = sums.iter().rev().find(|(name, _)| *name & 1 == 1).map_or(0.0, |(_, sum)| *sum);
                 self.counts.leases.store(newest.round() as u64, Ordering::SeqCst);
-                let round = round(self.dance.held(|h| h.epoch().0));
+                let round = round(self.gossip.held(|h| h.epoch().0));
                 let past = |totals: Vec<i64>| vec![parts(1000.0); totals.len()];
                 match *self.counts.answers.lock().unwrap() {
                     Answers::Prompt => Word::Counted { tag, round, totals },
@@ -98,7 +98,7 @@
                     Answers::Late => {
                         let kept = self.kept.take();
                         self.counts.stale.fetch_add(kept.len() as u64, Ordering::SeqCst);
-                        return kept.iter().for_each(|k| self.dance.post().send(from, k));
+                        return kept.iter().for_each(|k| self.gossip.post().send(from, k));
                     }
                     Answers::Outdated => {
                         self.counts.stale.fetch_add(1, Ordering::SeqCst);
@@ -112,7 +112,7 @@
             }
             _ => return,
         };
-        self.dance.post().send(from, &answer);
+        self.gossip.post().send(from, &answer);
     }
 }
 
@@ -165,40 +165,41 @@
     let (front, control) = (None, settings.seeds.first().copied());
     let card =
         Card { core: true, region, zone, front, control, ready: true, leaving: false, rules: None, load: 0 };
-    let dance = Dance::open(&settings, card, false).expect("the hive's port");
+    let gossip = Gossip::open(&settings, card, false).expect("the hive's port");
     let _ = bound.send(());
     let holder = Rc::new(Holder {
-        dance: dance.clone(),
+        gossip: gossip.clone(),
         totals: RefCell::default(),
         kept: RefCell::default(),
         counts,
     });
     let host: Rc<dyn Host> = holder.clone();
-    dance.attend(Rc::downgrade(&host));
-    tokio::task::spawn_local(dance.clone().run());
-    dance.tell(News { epoch: Some((epoch(1, dance.me()), dance.me())), ..News::default() }, Source::Origin);
+    gossip.attend(Rc::downgrade(&host));
+    tokio::task::spawn_local(gossip.clone().run());
+    gossip
+        .tell(News { epoch: Some((epoch(1, gossip.me()), gossip.me())), ..News::default() }, Source::Origin);
     while let Some(order) = orders.recv().await {
         match order {
             Order::Document(index, d) => {
                 let state = Some(((1, index), Rc::from(bytes(&d))));
-                dance.tell(News { state, ..News::default() }, Source::Origin);
+                gossip.tell(News { state, ..News::default() }, Source::Origin);
                 let print = Tables::new(&d, &settings.zones).map_or(0, |t| t.print().folded());
-                dance.set_print(index, print);
+                gossip.set_print(index, print);
             }
             Order::Rows(number, rows) => {
                 let list = Some(((1, number), Rc::from(List { number: (1, number), rows }.encode())));
-                dance.tell(News { list, ..News::default() }, Source::Origin);
+                gossip.tell(News { list, ..News::default() }, Source::Origin);
             }
             Order::Round(round) => {
-                let epoch = Some((epoch(round, dance.me()), dance.me()));
-                dance.tell(News { epoch, ..News::default() }, Source::Origin);
+                let epoch = Some((epoch(round, gossip.me()), gossip.me()));
+                gossip.tell(News { epoch, ..News::default() }, Source::Origin);
             }
             Order::Say(to, ballot, d) => {
                 let state = Some(((ballot.epoch, ballot.index), ByteBuf::from(bytes(&d))));
                 let news = Word::News { digest: Default::default(), state, list: None };
-                dance.post().send(to, &news);
+                gossip.post().send(to, &news);
             }
         }
     }
-    dance.post().close();
+    gossip.post().close();
 }
--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -12,7 +12,7 @@
 use fleet::{config, document, req, row, until, Fleet};
 use lupinledge_example::door::Door;
 use lupinledge_example::http::Client;
-use lupinledge_wax::list::Row;
+use lupinledge_messaging::list::Row;
 use serde_json::json;
 use srv::{Manner, Srv, FULL, GOOD};
 use std::io::{BufRead, BufReader, Write};
--- a/forager/tests/rules/rogue.rs
+++ b/forager/tests/rules/rogue.rs
@@ -1,7 +1,7 @@
 //! A stand-in for servers that break off, come late, say too much and contradict themselves, and the book of what all
 //! of them ran. What one does with a request follows from the seed and the request's id alone.
 
-use lupinledge_wax::list::Row;
+use lupinledge_messaging::list::Row;
 use socket2::SockRef;
 use std::collections::hash_map::DefaultHasher;
 use std::collections::BTreeMap;
--- a/forager/tests/start.rs
+++ b/forager/tests/start.rs
@@ -1,7 +1,7 @@
 //! Starts the program with nobody around, and speaks to it over a socket.
 
 use lupinledge_example::waits;
-use lupinledge_wax::{decode, Word};
+use lupinledge_messaging::{decode, Word};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
--- a/dance/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -1,5 +1,5 @@
 //! Drives what every process of the system does with the others: it knows them by probes, passes news on to a
-//! few, and mends gaps by comparing digests. Both programs dance the same way; what they do with what they hear is
+//! few, and mends gaps by comparing digests. Both programs gossip the same way; what they do with what they hear is
 //! theirs ([`Host`]).
 //!
 //! The decisions are in `lupinledge-waggle`; here are the clock and the links.
@@ -9,10 +9,10 @@
 pub mod metrics;
 pub mod settings;
 
+use lupinledge_messaging::{Node, Post, Word};
 use lupinledge_propolis::Settings;
 use lupinledge_waggle::{self as waggle, Card, Patches, Said, Sends, Spread, Swarm, Turn};
 pub use lupinledge_waggle::{Held, News, Source};
-use lupinledge_wax::{Node, Post, Word};
 use serde_bytes::ByteBuf;
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -24,7 +24,7 @@
 pub trait Host {
     /// Something newer than what was held is held now.
     fn news(&self, news: News);
-    /// Another word, not one of the dance.
+    /// Another word, not one of the gossip.
     fn word(&self, from: Node, word: Word);
     /// Any word came from that process; called before anything else is made of it.
     fn lives(&self, _from: Node) {}
@@ -34,7 +34,7 @@
 const SOON: f64 = 0.002;
 
 /// One process among the others.
-pub struct Dance {
+pub struct Gossip {
     me: Node,
     began: Instant,
     post: Rc<Post>,
@@ -62,10 +62,10 @@
     seeds
 }
 
-impl Dance {
+impl Gossip {
     /// Binds the sockets for words of the own kind. `takes_state`: documents come from others by news; else only by
-    /// [`Dance::tell`]. Fails if the port is taken.
-    pub fn open(settings: &Settings, card: Card, takes_state: bool) -> eyre::Result<Rc<Dance>> {
+    /// [`Gossip::tell`]. Fails if the port is taken.
+    pub fn open(settings: &Settings, card: Card, takes_state: bool) -> eyre::Result<Rc<Gossip>> {
         let me = node_of(settings.ip);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let mut swarm = waggle::Settings::new(
@@ -76,15 +76,15 @@
             unix.as_nanos() as u64 ^ u64::from(me) << 32,
         );
         swarm.packet_most = 1100;
-        let me_again: Rc<RefCell<Weak<Dance>>> = Rc::default();
+        let me_again: Rc<RefCell<Weak<Gossip>>> = Rc::default();
         let to = me_again.clone();
         let on_word = Rc::new(move |from, word| {
-            if let Some(dance) = to.borrow().upgrade() {
-                dance.heard(from, word);
+            if let Some(gossip) = to.borrow().upgrade() {
+                gossip.heard(from, word);
             }
         });
         let post = Post::open(me, settings.port_range.0, on_word)?;
-        let dance = Rc::new(Dance {
+        let gossip = Rc::new(Gossip {
             me,
             began: Instant::now(),
             post,
@@ -93,8 +93,8 @@
             due: Cell::new(0.0),
             woken: Notify::new(),
         });
-        *me_again.borrow_mut() = Rc::downgrade(&dance);
-        Ok(dance)
+        *me_again.borrow_mut() = Rc::downgrade(&gossip);
+        Ok(gossip)
     }
 
     /// Who hears from now on. What came before is held, but was told to nobody.
--- a/dance/tests/settings.rs
+++ b/gossip/tests/settings.rs
@@ -1,6 +1,6 @@
 //! The settings file while it is being written.
 
-use lupinledge_dance::settings::watch;
+use lupinledge_gossip::settings::watch;
 use std::cell::Cell;
 use std::fs::{self, File};
 use std::path::Path;
--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -2,10 +2,10 @@
 
 use crate::clock::Clock;
 use lupinledge_invariants::{check, Invariant};
+use lupinledge_messaging::{Post, Word};
 use lupinledge_propolis::Document;
 use lupinledge_queen::{Ballot, Kept, Msg, Node, Out, Outcome, Queen, Settings};
 use lupinledge_skep::{Found, Saved, Store};
-use lupinledge_wax::{Post, Word};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
--- a/hive/src/brood.rs
+++ b/hive/src/brood.rs
@@ -2,7 +2,7 @@
 
 use crate::agree::Agree;
 use crate::platform::{Fault, Platform};
-use lupinledge_wax::list::{List, Row};
+use lupinledge_messaging::list::{List, Row};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/hive/src/counts.rs
+++ b/hive/src/counts.rs
@@ -3,14 +3,14 @@
 
 use crate::agree::Agree;
 use crate::clock::Clock;
-use lupinledge_dance::Dance;
+use lupinledge_gossip::Gossip;
+use lupinledge_messaging::{parts, round, units, Post, Word};
 use lupinledge_nectar::duty::{Answer, Duty, Look, Seen};
 use lupinledge_nectar::told::Told;
 use lupinledge_nectar::Incarnation;
 use lupinledge_propolis::Tables;
 use lupinledge_queen::Node;
 use lupinledge_waggle::{Member, Standing};
-use lupinledge_wax::{parts, round, units, Post, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -38,18 +38,18 @@
     }
 
     /// From here on silences are looked for: a pause of this process is none of the others'.
-    pub fn run(self: &Rc<Counts>, dance: Rc<Dance>) {
+    pub fn run(self: &Rc<Counts>, gossip: Rc<Gossip>) {
         let counts = self.clone();
         tokio::task::spawn_local(async move {
             loop {
-                let whole = counts.look(&dance);
+                let whole = counts.look(&gossip);
                 let _ = timeout(if whole { TICK } else { ASK }, counts.agree.changed()).await;
             }
         });
     }
 
     /// Looks after the counters; returns whether they are whole, or another's.
-    fn look(&self, dance: &Dance) -> bool {
+    fn look(&self, gossip: &Gossip) -> bool {
         let Some(epoch) = self.agree.leads() else { return true };
         self.hold(epoch);
         let seen = |m: &Member| {
@@ -57,9 +57,9 @@
             Seen { node: m.node, alive, leaving: m.card.leaving, gone }
         };
         let gateways: Vec<Seen> =
-            dance.with(|swarm| swarm.members().filter(|m| !m.card.core).map(seen).collect());
+            gossip.with(|swarm| swarm.members().filter(|m| !m.card.core).map(seen).collect());
         let ask =
-            |nodes: Vec<Node>| nodes.into_iter().for_each(|n| dance.post().cast(n, &Word::Hold { epoch }));
+            |nodes: Vec<Node>| nodes.into_iter().for_each(|n| gossip.post().cast(n, &Word::Hold { epoch }));
         match self.duty.borrow_mut().look(self.clock.now(), &gateways) {
             Look::Whole(nodes) => ask(nodes),
             Look::Ask(nodes) => {
@@ -70,7 +70,7 @@
                 tracing::info!(event = "counters_whole", epoch, missing, waiting = answers.len());
                 for Answer { from, tag, totals } in answers {
                     let totals = totals.into_iter().map(parts).collect();
-                    dance.post().send(from.0, &Word::Counted { tag, round: round(epoch), totals });
+                    gossip.post().send(from.0, &Word::Counted { tag, round: round(epoch), totals });
                 }
             }
         }
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -8,15 +8,15 @@
 use crate::directory::Directory;
 use crate::nodes;
 use eyre::{eyre, WrapErr};
-use lupinledge_dance::{metrics, seeds_of, Dance, Host, News, Source};
+use lupinledge_gossip::{metrics, seeds_of, Gossip, Host, News, Source};
+use lupinledge_messaging::list::List;
+use lupinledge_messaging::{decode, Word};
 use lupinledge_propolis::settings::CloudApi;
 use lupinledge_propolis::turns::{Caller, Turns};
 use lupinledge_propolis::{Document, Homes, Print, Settings, Tables};
 use lupinledge_queen::{Ballot, Node};
 use lupinledge_skep::{DataDir, Found, Opened, Store};
 use lupinledge_waggle::{Card, Member, Standing};
-use lupinledge_wax::list::List;
-use lupinledge_wax::{decode, Word};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
     /// Changes that wait or run, and who waits for them.
     pub turns: RefCell<Turns<Command>>,
     pub callers: RefCell<BTreeMap<Caller, oneshot::Sender<Reply>>>,
-    dance: Rc<Dance>,
+    gossip: Rc<Gossip>,
     directory: Directory,
     /// The homes of hosts, and of which document.
     homes: RefCell<(Option<Ballot>, Homes)>,
@@ -82,7 +82,7 @@
             rules: None,
             load: 0,
         };
-        let dance = Dance::open(&settings, card, false).wrap_err("`port_range`")?;
+        let gossip = Gossip::open(&settings, card, false).wrap_err("`port_range`")?;
         let brood = Brood::start(agree.clone(), platform.address, platform.rate_per_s);
         let counts = Counts::new(clock.clone(), agree.clone(), settings.zones.clone());
 
@@ -97,16 +97,16 @@
             intent: Cell::default(),
             turns: RefCell::default(),
             callers: RefCell::default(),
-            dance: dance.clone(),
+            gossip: gossip.clone(),
             directory: Directory::default(),
             homes: RefCell::default(),
             counts,
         });
         let host: Rc<dyn Host> = hive.clone();
-        dance.attend(Rc::downgrade(&host));
-        hive.counts.run(dance.clone());
-        tokio::task::spawn_local(dance.clone().run());
-        agree.run(dance.post().clone(), ends);
+        gossip.attend(Rc::downgrade(&host));
+        hive.counts.run(gossip.clone());
+        tokio::task::spawn_local(gossip.clone().run());
+        agree.run(gossip.post().clone(), ends);
         tokio::task::spawn_local(hive.clone().tell());
         tokio::task::spawn_local(hive.clone().upkeep());
         tracing::info!(event = "started", node = %hive.settings.borrow().ip, port, empty);
@@ -121,7 +121,7 @@
                 _ = self.brood.renewed.notified() => {}
             }
             let list = self.brood.list();
-            let newer = self.dance.held(|h| list.number > h.digest().list);
+            let newer = self.gossip.held(|h| list.number > h.digest().list);
             let agreed = self.agree.agreed().filter(|a| a.ballot > Ballot::default());
             let news = News {
                 epoch: self.agree.last_holder().map(|(holder, epoch)| (epoch, holder)),
@@ -130,32 +130,32 @@
             };
             // what a former holder had to tell was told by it; gaps are found by digests
             let leads = self.agree.leads().is_some();
-            self.dance.tell(news, if leads { Source::Origin } else { Source::Settled });
+            self.gossip.tell(news, if leads { Source::Origin } else { Source::Settled });
             self.print();
-            let ready = self.dance.held(|h| h.newest().state.is_some());
-            self.dance.set_card(|card| card.ready = ready);
+            let ready = self.gossip.held(|h| h.newest().state.is_some());
+            self.gossip.set_card(|card| card.ready = ready);
         }
     }
 
     /// Tells the others what the document says that is held here, in short.
     fn print(&self) {
-        let held = self.dance.held(|h| h.newest().state.clone());
+        let held = self.gossip.held(|h| h.newest().state.clone());
         let Some(((_, index), bytes)) = held.filter(|h| self.intent.get().0 != h.0 .1) else { return };
         let zones = self.settings.borrow().zones.clone();
         let tables = decode::<Document>(&bytes).ok().and_then(|d| Tables::new(&d, &zones).ok());
         if let Some(tables) = tables {
             self.intent.set((index, tables.print()));
-            self.dance.set_print(index, tables.print().folded());
+            self.gossip.set_print(index, tables.print().folded());
         }
     }
 
     /// All processes that are known, and whether they do what the document says that is held here.
     pub fn nodes(&self) -> serde_json::Value {
         let (index, intent) = self.intent.get();
-        let own = self.dance.held(|h| h.digest());
-        let now = self.dance.now();
+        let own = self.gossip.held(|h| h.digest());
+        let now = self.gossip.now();
         let nodes =
-            self.dance.with(|s| s.members().map(|m| nodes::row(now, m, own, intent)).collect::<Vec<_>>());
+            self.gossip.with(|s| s.members().map(|m| nodes::row(now, m, own, intent)).collect::<Vec<_>>());
         let holder = self.agree.leads().map(|_| self.clock.me).or_else(|| self.agree.route());
         let holder = holder.map(|node| std::net::Ipv4Addr::from(node).to_string());
         let parts = nodes::parts(&intent.parts());
@@ -181,16 +181,16 @@
             line("servers.list_number", list.number.1);
             line("servers.listed", list.rows.len() as u64);
             line("servers.unreadable", self.brood.unreadable.get());
-            self.dance.figures(line);
+            self.gossip.figures(line);
         })
     }
 
     /// Whom others name as the holder where this process is cut off from it: of no earlier epoch than it knows, and alive.
     pub fn told_holder(&self) -> Option<Node> {
-        let (epoch, node) = self.dance.held(|h| h.epoch());
+        let (epoch, node) = self.gossip.held(|h| h.epoch());
         let known = self.agree.last_holder().map_or(0, |(_, epoch)| epoch);
         let alive = |m: &Member| m.card.core && m.standing == Standing::Alive;
-        let there = node != self.clock.me && self.dance.with(|s| s.member(node).is_some_and(alive));
+        let there = node != self.clock.me && self.gossip.with(|s| s.member(node).is_some_and(alive));
         (there && epoch >= known && self.agree.cut_from(node)).then_some(node)
     }
 
@@ -209,14 +209,14 @@
             if holder.is_some() && (asked != holder || turns % CLOCK_EACH == 0) {
                 asked = holder;
                 holder.into_iter().for_each(|(node, _)| {
-                    self.dance.post().cast(node, &Word::Clock { sent: self.clock.ask() })
+                    self.gossip.post().cast(node, &Word::Clock { sent: self.clock.ask() })
                 });
             }
             let mut cores = seeds_of(&self.settings.borrow());
             // where both sides of a cut start anew under seeds of their own side, only the agreement leads across it
-            self.dance.seek(cores.iter().copied().chain(self.agree.members()).collect());
+            self.gossip.seek(cores.iter().copied().chain(self.agree.members()).collect());
             if !self.agree.member() || self.agree.holder().is_none() {
-                self.dance.with(|s| cores.extend(s.members().filter(|m| m.card.core).map(|m| m.node)));
+                self.gossip.with(|s| cores.extend(s.members().filter(|m| m.card.core).map(|m| m.node)));
                 self.agree.hint(&cores);
             }
             turns += 1;
@@ -228,7 +228,7 @@
     pub fn retell(&self, settings: Settings) -> eyre::Result<()> {
         let platform = platform_of(&settings)?;
         self.brood.retell(platform.address, platform.rate_per_s);
-        self.dance.retell(&settings);
+        self.gossip.retell(&settings);
         self.agree.hint(&seeds_of(&settings));
         let listen = self.settings.borrow().listen.clone();
         *self.settings.borrow_mut() = Rc::new(Settings { listen, ..settings });
@@ -241,7 +241,7 @@
             *self.homes.borrow_mut() = (Some(agreed.ballot), Homes::new(&agreed.document));
         }
         let homes = self.homes.borrow();
-        self.dance.with(|s| self.directory.fronts(s.members(), region, homes.1.of(host)))
+        self.gossip.with(|s| self.directory.fronts(s.members(), region, homes.1.of(host)))
     }
 
     /// For how long an answer of the directory is good.
@@ -252,17 +252,17 @@
     /// From here on no new command is taken, and the others know why.
     pub fn leave(&self) {
         self.leaving.set(true);
-        self.dance.set_card(|card| card.leaving = true);
+        self.gossip.set_card(|card| card.leaving = true);
     }
 
     /// Nothing goes out any more.
     pub fn end(&self) {
         self.agree.fall_silent();
-        let counts = self.dance.post().counts();
+        let counts = self.gossip.post().counts();
         let (sent, cast, dropped) = (counts.sent.get(), counts.cast.get(), counts.dropped.get());
-        let (news, unreadable) = (self.dance.news_sent(), self.brood.unreadable.get());
+        let (news, unreadable) = (self.gossip.news_sent(), self.brood.unreadable.get());
         tracing::info!(event = "ended", sent, cast, dropped, news, unreadable);
-        self.dance.post().close();
+        self.gossip.post().close();
     }
 }
 
@@ -280,11 +280,11 @@
         match word {
             Word::Queen(msg) => self.agree.heard(from, msg),
             Word::Count { tag, incarnation, calls } => {
-                self.counts.heard(self.dance.post(), (from, incarnation), tag, &calls)
+                self.counts.heard(self.gossip.post(), (from, incarnation), tag, &calls)
             }
             Word::Told { incarnation, told, epoch } => self.counts.told(from, incarnation, epoch, &told),
             Word::Clock { sent } if self.agree.leads().is_some() => {
-                self.dance.post().cast(from, &Word::ClockIs { sent, hive: self.clock.hive() });
+                self.gossip.post().cast(from, &Word::ClockIs { sent, hive: self.clock.hive() });
             }
             Word::ClockIs { sent, hive } if self.holds(from) => self.clock.adopt(sent, hive),
             _ => {}
--- a/wax/tests/post.rs
+++ b/messaging/tests/post.rs
@@ -1,6 +1,6 @@
 //! Posts over the loopback network, each at an address of its own.
 
-use lupinledge_wax::{Node, Post, Word};
+use lupinledge_messaging::{Node, Post, Word};
 use std::cell::RefCell;
 use std::io::Write;
 use std::net::{Ipv4Addr, TcpListener, TcpStream, UdpSocket};
@@ -245,7 +245,7 @@
         bad[8..].copy_from_slice(&[127, 0, 0, 1]);
         bad.extend_from_slice(&[0, 0, 0, 1, 0xc1, 0, 0, 0, 0]);
         let mut good = Vec::new();
-        lupinledge_wax::encode(&clock(5.0), &mut good).unwrap();
+        lupinledge_messaging::encode(&clock(5.0), &mut good).unwrap();
         bad.extend_from_slice(&(good.len() as u32).to_be_bytes());
         bad.extend_from_slice(&good);
         let bad = dial(&bad);
--- a/wax/tests/words.rs
+++ b/messaging/tests/words.rs
@@ -1,8 +1,8 @@
 //! Words as bytes: back and forth, and from any bytes.
 
+use lupinledge_messaging::list::{List, Row};
+use lupinledge_messaging::{clock::Estimate, decode, encode, parts, Patched, Word};
 use lupinledge_waggle::{Body, Card, Digest, Packet, Patch, Rumour, Standing};
-use lupinledge_wax::list::{List, Row};
-use lupinledge_wax::{clock::Estimate, decode, encode, parts, Patched, Word};
 
 fn bytes(word: &Word) -> Vec<u8> {
     let mut bytes = Vec::new();
@@ -177,7 +177,7 @@
 /// An answer counts only to what this start of the process asked lately, however often it comes.
 #[test]
 fn a_clock_is_asked_for() {
-    use lupinledge_wax::clock::Asked;
+    use lupinledge_messaging::clock::Asked;
     let mut asked = Asked::default();
     assert!(!asked.was(0.25), "an earlier start's");
     (0..40).for_each(|i| asked.ask(f64::from(i) / 4.0));
@@ -199,6 +199,6 @@
     .len();
     assert!(asked <= 45 && told <= 24, "{asked}, {told}");
     for units in [0.0, -3.0, 1.0, 12_345.0, 0.5, 1e9] {
-        assert_eq!(lupinledge_wax::units(parts(units)), units);
+        assert_eq!(lupinledge_messaging::units(parts(units)), units);
     }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -108,9 +108,22 @@
     crowd.stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| drop(client.join()));
     look_at_the_end(&record, &cluster);
+    std::fs::write(plan.folder.join("timeline"), timeline(&record)).wrap_err("timeline")?;
     Ok(judge(&record, &cluster, plan.scope))
 }
 
+/// What befell whom when, and when configurations were acknowledged, for who looks into a broken run.
+fn timeline(record: &Record) -> String {
+    let seen = record.seen();
+    let mut lines: Vec<(f64, String)> = Vec::new();
+    lines.extend(seen.troubles.iter().map(|t| (t.from, format!("{} until {:.3}", t.what, t.until))));
+    let acknowledged =
+        seen.versions.iter().filter_map(|v| Some((v.acknowledged?, format!("r{} acknowledged", v.number))));
+    lines.extend(acknowledged);
+    lines.sort_by(|a, b| a.0.total_cmp(&b.0));
+    lines.into_iter().map(|(at, what)| format!("{at:.3} {what}\n")).collect()
+}
+
 fn wait_until_ready(cluster: &Cluster) -> eyre::Result<()> {
     let began = Instant::now();
     while !(0..EDGES).all(|edge| cluster.ready(edge)) {
