The core says whether it is settled; the soak loses a disk only where the one before was made up for

Of the members before the change two disks of three were gone; no majority of them can be told again, and the wiped one rightly takes no part. Nothing was shown in an older state. The soak took the successor's own word (`core.member 1`) for the end of the change.

Class: a sign that is taken from what was accepted and read as if it told what is committed.

Change: `core.settled` in the figures: what this process knows of the members is committed, and no change is under way. The soak asks for it, and for four quiet seconds (`catch_up_s`) of all members, before it takes a disk.

Open: a core that lost more than it bears stands still for good; there is no command by which an operator could found it anew from the members that are left.

Test: `settled_once_the_change_is_committed` (queen): 20 seeds.

--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -250,6 +250,11 @@
         !queen.amnesiac() && queen.members().contains(&self.me())
     }
 
+    /// Whether what this process knows of the members is committed, with no change of them under way.
+    pub fn settled(&self) -> bool {
+        self.queen.borrow().settled()
+    }
+
     /// Other machines of the core, known from elsewhere.
     pub fn hint(&self, nodes: &[Node]) {
         self.queen.borrow_mut().hint(nodes);
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -175,6 +175,7 @@
             line("document.index", ballot.index);
             line("core.leads", u64::from(self.agree.leads().is_some()));
             line("core.member", u64::from(self.agree.member()));
+            line("core.settled", u64::from(self.agree.settled()));
             line("core.members", self.agree.members().len() as u64);
             line("changes.callers", self.callers.borrow().len() as u64);
             line("servers.list_epoch", list.number.0);
--- a/queen/src/lib.rs
+++ b/queen/src/lib.rs
@@ -292,6 +292,13 @@
         }
     }
 
+    /// Whether the newest value known here is committed, and no change of the members is under way: until then one more
+    /// loss may take the disks that the change rests on.
+    pub fn settled(&self) -> bool {
+        let committed = self.committed.as_ref().is_some_and(|(ballot, _)| *ballot >= self.disk.mem.ballot);
+        committed && self.newest().outgoing.is_empty()
+    }
+
     fn member(&self) -> bool {
         self.newest().members.contains(&self.me)
     }
--- a/queen/tests/faults/leaving.rs
+++ b/queen/tests/faults/leaving.rs
@@ -286,3 +286,22 @@
         assert!(!world.watch.log.values().next_back().unwrap().members.contains(&40), "seed {seed}");
     }
 }
+
+/// A newcomer is not settled in before its admission is committed, nor is anybody who knows of it: until then one more
+/// loss may be one too many.
+#[test]
+fn settled_once_the_change_is_committed() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, &THREE);
+        let holder = world.held();
+        let settled = |world: &World, node: Node| world.process(node).is_some_and(|m| m.queen.settled());
+        assert!(world.run_until(2.0, |world| THREE.iter().all(|&node| settled(world, node))), "seed {seed}");
+        world.start(40);
+        // it counts by its own word as soon as it was told of the change
+        assert!(world.run_until(6.0, |world| world.counts(holder).contains(&40)));
+        assert!(!settled(&world, holder), "seed {seed}: a change is under way");
+        let all = [10, 20, 30, 40];
+        assert!(world.run_until(6.0, |world| all.iter().all(|&node| settled(world, node))), "seed {seed}");
+        assert!(all.iter().all(|&node| world.counts(node) == all), "seed {seed}");
+    }
+}
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -38,6 +38,7 @@
     pub const SLACK: f64 = 0.2;
     pub const ACK: f64 = 8.0;
     pub const RECOVER: f64 = 15.0;
+    pub const CATCH_UP: f64 = 4.0;
     pub const QUOTA_WINDOW: f64 = 5.0;
     pub const QUOTA_EXCESS: f64 = 0.1;
     pub const QUOTA_SLACK: f64 = 20.0;
@@ -56,7 +57,7 @@
         "contact_s": CONTACT, "config_apply_s": CONFIG_APPLY, "evacuate_s": EVACUATE, "grace_s": GRACE,
         "slack_s": SLACK, "ack_s": ACK, "recover_s": RECOVER, "quota_window_s": QUOTA_WINDOW,
         "quota_excess": QUOTA_EXCESS, "quota_slack": QUOTA_SLACK, "retry_ratio": RETRY_RATIO,
-        "retry_window_s": RETRY_WINDOW, "retry_slack": RETRY_SLACK, "catch_up_s": 4.0, "drain_s": 2.5,
+        "retry_window_s": RETRY_WINDOW, "retry_slack": RETRY_SLACK, "catch_up_s": CATCH_UP, "drain_s": 2.5,
     })
 }
 
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -258,13 +258,16 @@
         self.record.over(note);
     }
 
-    /// The whole core, if all of it is sound and in no other trouble's hands: no more than one disk is to be lost at
-    /// once.
+    /// The whole core, if all of it is sound, in no other trouble's hands, and was so for the time that one that was
+    /// away or is new has to catch up: no more than one disk is to be lost at once.
     fn claim_sound_core(&self) -> Option<Vec<Claim<'_>>> {
         let claims: Vec<Claim> = (0..CORES).filter_map(|i| self.claim(Process::Core(i))).collect();
+        let since = self.record.now() - bounds::CATCH_UP;
         let counts = |c: &Claim| {
-            let members = self.cluster.metric(c.1, "core.members");
-            self.cluster.metric(c.1, "core.member") == Some(1) && members == Some(CORES as u64)
+            let says = |figure: &str, value: u64| self.cluster.metric(c.1, figure) == Some(value);
+            let settled =
+                says("core.member", 1) && says("core.settled", 1) && says("core.members", CORES as u64);
+            settled && !self.record.disturbed(c.1, since)
         };
         (claims.len() == CORES && claims.iter().all(counts)).then_some(claims)
     }
