--- a/forager/tests/rules/fleet.rs
+++ b/forager/tests/rules/fleet.rs
@@ -218,6 +218,15 @@
         until(&line, || self.log.lock().unwrap().contains(&line));
     }
 
+    /// The most memory that the program ever had, in kilobytes.
+    pub fn peak_kb(&self) -> u64 {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its status");
+        let peak =
+            status.lines().find_map(|l| l.strip_prefix("VmHWM:")?.trim().split(' ').next()?.parse().ok());
+        peak.expect("its peak")
+    }
+
     /// The figure of this name that the program tells of itself.
     pub fn metric(&self, name: &str) -> Option<u64> {
         metric(self.ready, name)
--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -443,3 +443,48 @@
         assert_eq!(met, [401; 20], "{bytes} bytes");
     }
 }
+
+/// The answers that are held for clients which don't read them are bounded in sum: what a process may hold is not the
+/// number of its requests times the longest answer.
+#[test]
+fn answers_within_the_memory() {
+    const LONG: &str = "long";
+    let long = Door::open("127.0.0.1:0", |stream| {
+        let mut from = BufReader::new(stream);
+        while let Ok(Some(message)) = lupinledge_example::http::read(&mut from) {
+            let id = message.header("lupinledge-attempt-id").unwrap_or_default();
+            let head =
+                format!("HTTP/1.1 200 OK\r\nLupinledge-Attempt-Id: {id}\r\nLupinledge-Server-Stamp: s\r\n");
+            let body = if message.start.contains(LONG) { "z".repeat(4 << 20) } else { "short".into() };
+            let text = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+            if from.get_mut().write_all(text.as_bytes()).is_err() {
+                return;
+            }
+        }
+    });
+    let s = srv("i-1", GOOD);
+    let near = Row { address: long.expect("a server").addr, ..row(&s, "a") };
+    // twelve of these forty megabytes are for answers
+    let f = Fleet::within(vec![near], 40);
+    assert_eq!(f.statuses(5, "GET /read/x", "key"), [200; 5]);
+    let before = f.peak_kb();
+    let held: Vec<Client> = (0..40)
+        .map(|_| {
+            let mut client = Client::to(f.front).expect("a connection");
+            client.write(req(&format!("GET /read/{LONG}"), "key", "", "").1.as_bytes()).expect("written");
+            client
+        })
+        .collect();
+    until("all were decided on", || f.metric("taken").is_some_and(|taken| taken >= 45));
+    // until no more of them comes in: what is held by then is all that ever is
+    let mut peak = 0;
+    until("it stays", || {
+        std::thread::sleep(ms(400));
+        let last = std::mem::replace(&mut peak, f.peak_kb());
+        last == peak
+    });
+    assert!(peak - before < 30_000, "{} kB more", peak - before);
+    drop(held);
+    until("all is given back", || f.metric("requests.unanswered") == Some(0));
+    assert_eq!(f.statuses(5, "GET /read/x", "key"), [200; 5]);
+}
