Answers of servers wait for room in the memory for answers

Cause: each answer was bounded (4 MB), their sum was not: an answer is held until its client has read it, and nothing but the number of requests bounds how many. Class: the same as with bodies in chunks, a bound on one where the sum is held.

Change: three tenths of the memory are for answers. One that tells its length waits for room before it is read, so that its server is held up and not the process killed; one in chunks takes room as it comes. The room is given back as the last byte is handed to the client's connection. A request that ran out of its time while it waited for room says nothing against its server. The bodies of requests use the same part (`comb/src/transport/body.rs`) in place of their own count.

--- a/comb/src/clients.rs
+++ b/comb/src/clients.rs
@@ -1,12 +1,13 @@
 //! Clients: their connections, behind which a service answers their reqs.
 
 use crate::counters::Counters;
+pub use crate::transport::body::{whole, whole_counted, Unread};
 use crate::transport::descriptors::Place;
 use crate::transport::ending::{Ending, Why};
 use crate::transport::heads::{Followed, Heads};
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION};
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -319,47 +320,6 @@
     reply
 }
 
-/// Why a body was not read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Unread {
-    /// It has more bytes than it may.
-    TooLong,
-    /// Its framing is wrong, or its client has left.
-    Broken,
-    /// There is no room for it now.
-    NoRoom,
-}
-
-/// Reads a body of `largest` bytes at most. One that tells ahead that it is longer is not read at all.
-pub async fn whole(body: Incoming, largest: usize) -> Result<Bytes, Unread> {
-    whole_counted(body, largest, |_| true).await
-}
-
-/// The same; `room` is told the bytes of each piece as it comes, and says whether there is room for it.
-pub async fn whole_counted(
-    body: Incoming,
-    largest: usize,
-    mut room: impl FnMut(usize) -> bool,
-) -> Result<Bytes, Unread> {
-    if body.size_hint().lower() > largest as u64 {
-        return Err(Unread::TooLong);
-    }
-    let (mut body, mut read) = (Limited::new(body, largest), BytesMut::new());
-    while let Some(frame) = body.frame().await {
-        let frame = match frame {
-            Ok(frame) => frame,
-            Err(e) if e.is::<LengthLimitError>() => return Err(Unread::TooLong),
-            Err(_) => return Err(Unread::Broken),
-        };
-        let Ok(piece) = frame.into_data() else { continue };
-        if !room(piece.len()) {
-            return Err(Unread::NoRoom);
-        }
-        read.extend_from_slice(&piece);
-    }
-    Ok(read.freeze())
-}
-
 /// A header's value without the space around it; `None` too where it is no ASCII text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|v| v.to_str().ok()).map(str::trim)
--- a/comb/src/srvs.rs
+++ b/comb/src/srvs.rs
@@ -2,12 +2,13 @@
 
 use crate::clock::duration;
 use crate::exchange::{Back, Dispatch, Exchange, Meeting, ServerSide, Stop, Wire};
+use crate::transport::body::{whole_counted, Memory, Taken};
 use crate::transport::counted::{at_rest, Counted, Meter, Rest};
 use crate::transport::descriptors::{Place, Share};
 use crate::transport::dial::dial;
 use crate::transport::ending::{Ending, Why};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -21,6 +22,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -89,6 +91,8 @@
     wire: W,
     places: Rc<Share>,
     bounds: Cell<SrvBounds>,
+    /// What the answers that are held may have in sum.
+    memory: RefCell<Option<Arc<Memory>>>,
     /// Those that wait for a req, by srv: a new srv at an old address has none of its predecessor's.
     idle: RefCell<HashMap<u32, Vec<Link>>>,
     me: Weak<Srvs<W>>,
@@ -102,6 +106,7 @@
             wire,
             places,
             bounds: Cell::new(bounds),
+            memory: RefCell::default(),
             idle: RefCell::default(),
             me: me.clone(),
         });
@@ -114,6 +119,31 @@
         self.bounds.set(bounds);
     }
 
+    /// From here on answers wait for room in this memory before they are read, and hold it until they are written.
+    pub fn bound_memory(&self, memory: Arc<Memory>) {
+        *self.memory.borrow_mut() = Some(memory);
+    }
+
+    /// Reads the body of an answer; `waits` is set while it waits for room in the memory.
+    async fn body(&self, body: Incoming, waits: &Cell<bool>) -> Result<Bytes, ()> {
+        let (largest, memory) = (self.bounds.get().largest_body, self.memory.borrow().clone());
+        let told = body.size_hint().exact().map(|bytes| bytes as usize);
+        waits.set(true);
+        let mut taken: Option<Taken> = match (&memory, told) {
+            (Some(memory), Some(bytes)) => Some(memory.wait(bytes).await),
+            (Some(memory), None) => Some(memory.none()),
+            (None, _) => None,
+        };
+        waits.set(false);
+        // one that tells no length takes room as it comes
+        let grows = |bytes: usize| told.is_some() || taken.as_mut().is_none_or(|taken| taken.grow(bytes));
+        let body = whole_counted(body, largest, grows).await.map_err(|_| ())?;
+        Ok(match taken {
+            Some(taken) => taken.hold(body),
+            None => body,
+        })
+    }
+
     /// Closes connections that have been idle for as long as they may.
     async fn sweep(self: Rc<Self>) {
         loop {
@@ -232,7 +262,7 @@
             let message = self.wire.message(&d, left);
             let body = message.body().size_hint().exact().unwrap_or_default() as usize;
             l.meter.begin(body, bounds.largest_body + bounds.largest_heads);
-            let meter = l.meter.clone();
+            let (meter, waits) = (l.meter.clone(), Cell::new(false));
             let answer = tokio::time::timeout(duration(left), async {
                 let answer = async {
                     let answer = l.send.send_request(message).await.map_err(|_| ())?;
@@ -241,12 +271,15 @@
                     if !bounded(&head.headers, &body, bounds.largest_body) {
                         return Err(());
                     }
-                    let body = Limited::new(body, bounds.largest_body).collect().await.map_err(|_| ())?;
-                    Ok::<_, ()>(Response::from_parts(head, body.to_bytes()))
+                    let body = self.body(body, &waits).await?;
+                    Ok::<_, ()>(Response::from_parts(head, body))
                 };
                 let stalled = async {
                     meter.answering().await;
                     tokio::time::sleep(bounds.whole_within).await;
+                    while waits.get() {
+                        tokio::time::sleep(bounds.whole_within).await;
+                    }
                 };
                 tokio::select! {
                     biased;
@@ -271,6 +304,8 @@
                 Ok(Err(())) if !l.meter.started() && !fresh => continue, // idle, and closed by the srv
                 Ok(Err(())) if !l.meter.may_run() => Back::bare(Outcome::NoConnection),
                 Ok(Err(())) => Back::bare(Outcome::Reset),
+                // the srv is not to blame for the room that lacks here
+                Err(_) if waits.get() => Back::bare(Outcome::Cancelled),
                 Err(_) => {
                     l.ending.because(Why::TimedOut);
                     Back::bare(if l.meter.may_run() { Outcome::TimedOut } else { Outcome::NoConnection })
--- a/comb/src/transport/mod.rs
+++ b/comb/src/transport/mod.rs
@@ -1,3 +1,4 @@
+pub mod body;
 pub mod counted;
 pub mod descriptors;
 pub mod dial;
--- a/forager/src/door.rs
+++ b/forager/src/door.rs
@@ -12,11 +12,13 @@
 use lupinledge_comb::clients::{bare, say, text, whole, whole_counted, Answering, Reply, Unread};
 use lupinledge_comb::exchange::Answer;
 use lupinledge_comb::ids::Ids;
+use lupinledge_comb::transport::body::Memory;
 use lupinledge_comb::transport::heads::Heads;
 use lupinledge_propolis::config::RouteKind;
 use lupinledge_propolis::{Route, Tables, Tenant};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::time::Instant;
 
 /// Before the process is ready a body is read up to here, so that the answer is not lost in a reset.
@@ -47,8 +49,8 @@
     failures: Failures,
     /// Where the last request fell between the parts of a split, from 0 to 1.
     split: Cell<f64>,
-    /// Bytes of bodies that may still come in.
-    room: Cell<i64>,
+    /// For the bodies of requests.
+    memory: Arc<Memory>,
     pub closing: Cell<bool>,
 }
 
@@ -57,10 +59,17 @@
 
 impl Door {
     pub fn new(pools: Rc<Pools>, memory_mb: f64, seed: u64) -> Rc<Door> {
-        let room = (memory_mb * 1e6 * BODIES) as i64;
+        let memory = Memory::of((memory_mb * 1e6 * BODIES) as usize);
         let split = Cell::new(fastrand::Rng::with_seed(seed).f64());
-        let (room, closing) = (Cell::new(room), Cell::new(false));
-        Rc::new(Door { pools, ids: RefCell::default(), failures: Failures::default(), split, room, closing })
+        let closing = Cell::new(false);
+        Rc::new(Door {
+            pools,
+            ids: RefCell::default(),
+            failures: Failures::default(),
+            split,
+            memory,
+            closing,
+        })
     }
 
     async fn read(&self, req: Request<Incoming>, heads: &Heads, by: Instant) -> Result<Reply, Refusal> {
@@ -93,8 +102,9 @@
             return Err(large());
         }
         // one that tells no length takes room as it comes
-        let mut room = self.room(told.unwrap_or(0))?;
-        let takes = |bytes: usize| told.is_some() || room.grow(bytes as u64);
+        let room = self.memory.take(told.unwrap_or(0) as usize);
+        let mut room = room.ok_or_else(|| Box::new(later(NO_ROOM)))?;
+        let takes = |bytes: usize| told.is_some() || room.grow(bytes);
         let body = match tokio::time::timeout_at(by, whole_counted(body, most as usize, takes)).await {
             Ok(Ok(body)) => body,
             Ok(Err(Unread::NoRoom)) => return Err(Box::new(later(NO_ROOM))),
@@ -168,37 +178,6 @@
         self.split.set(next);
         next
     }
-
-    fn room(&self, bytes: u64) -> Result<Room<'_>, Refusal> {
-        let mut room = Room(self, 0);
-        if !room.grow(bytes) {
-            return Err(Box::new(later(NO_ROOM)));
-        }
-        Ok(room)
-    }
-}
-
-/// Room for a body, given back when dropped.
-struct Room<'a>(&'a Door, i64);
-
-impl Room<'_> {
-    /// Takes room for so many bytes more, if there is any.
-    fn grow(&mut self, bytes: u64) -> bool {
-        let bytes = bytes.min(1 << 40) as i64;
-        let left = self.0.room.get() - bytes;
-        if left < 0 {
-            return false;
-        }
-        self.0.room.set(left);
-        self.1 += bytes;
-        true
-    }
-}
-
-impl Drop for Room<'_> {
-    fn drop(&mut self) {
-        self.0.room.set(self.0.room.get() + self.1);
-    }
 }
 
 fn refuse(status: StatusCode, what: &'static str) -> Refusal {
--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -10,6 +10,7 @@
 use lupinledge_comb::counters::Counters;
 use lupinledge_comb::exchange::{Entry, Exchange};
 use lupinledge_comb::srvs::{SrvBounds, Srvs};
+use lupinledge_comb::transport::body::Memory;
 use lupinledge_comb::transport::descriptors::Share;
 use lupinledge_gossip::metrics::Line;
 use lupinledge_messaging::list::{List, Row};
@@ -17,6 +18,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A warm-up that ends so much later than was known has begun anew; less is the list's own unsharpness.
@@ -25,6 +27,9 @@
 /// A server that turned cold shortly before its zone was taken back is warm so long after its warm-up at the latest.
 const UNSURE: f64 = 0.5;
 
+/// Bytes of answers that may be held at once, of the process's memory.
+const ANSWERS: f64 = 0.3;
+
 struct Pool {
     exchange: Rc<Exchange<Trail>>,
     drive: tokio::task::AbortHandle,
@@ -62,6 +67,8 @@
     pub counters: Rc<Counters>,
     ledger: Rc<Ledger>,
     places: Rc<Share>,
+    /// For the answers of servers, over all pools.
+    answers: Arc<Memory>,
     wanted: RefCell<Wanted>,
     /// Nothing is sent; clients that come are to come back after so many seconds.
     shut: Cell<Option<f64>>,
@@ -78,6 +85,7 @@
         seed: u64,
     ) -> Rc<Pools> {
         let world = World::new(&settings, seed);
+        let answers = Memory::of((settings.limits.memory_mb * 1e6 * ANSWERS) as usize);
         let (counters, wanted) = (Rc::default(), RefCell::new(Wanted { gateways: 1, ..Wanted::default() }));
         let settings = RefCell::new(settings);
         Rc::new(Pools {
@@ -87,6 +95,7 @@
             counters,
             ledger,
             places,
+            answers,
             wanted,
             shut: Cell::default(),
             shuts: Cell::default(),
@@ -282,6 +291,7 @@
             unacked: Some(Duration::from_millis(1500)),
         };
         let srvs = Srvs::new(&exchange, Trail, bounds, self.places.clone());
+        srvs.bound_memory(self.answers.clone());
         exchange.attach(srvs, Some(self.ledger.account(Rc::downgrade(&exchange))));
         let drive = tokio::task::spawn_local(exchange.clone().drive()).abort_handle();
         Pool { exchange, drive }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -5,12 +5,13 @@
 use crate::client::{honest, longest_wait, misbehaving, Crowd};
 use crate::cluster::{Cluster, Programs, EDGES};
 use crate::configuration::bounds::RECOVER;
+use crate::configuration::LIMITED;
 use crate::faults::Injector;
 use crate::operator::Operator;
 use crate::platform::Platform;
-use crate::record::{Ending, Process, Record};
+use crate::record::{Ending, Process, Record, Seen};
 use eyre::{bail, WrapErr};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -123,10 +124,24 @@
     let acknowledged =
         seen.versions.iter().filter_map(|v| Some((v.acknowledged?, format!("r{} acknowledged", v.number))));
     lines.extend(acknowledged);
+    lines.extend(limited_runs(&seen));
     lines.sort_by(|a, b| a.0.total_cmp(&b.0));
     lines.into_iter().map(|(at, what)| format!("{at:.3} {what}\n")).collect()
 }
 
+/// Runs of the limited tenant, by half a second and edge process.
+fn limited_runs(seen: &Seen) -> Vec<(f64, String)> {
+    let edges: HashMap<&str, usize> = seen.sent.iter().map(|s| (s.id.as_str(), s.edge)).collect();
+    let mut runs: BTreeMap<u64, [usize; EDGES]> = BTreeMap::new();
+    let of_tenant = seen.arrivals.iter().filter(|a| a.ran && a.tenant.as_deref() == Some(LIMITED.0));
+    for arrival in of_tenant {
+        if let Some(edge) = edges.get(arrival.id.as_str()) {
+            runs.entry((arrival.at * 2.0) as u64).or_default()[*edge] += 1;
+        }
+    }
+    runs.into_iter().map(|(half, by_edge)| (half as f64 / 2.0, format!("limited runs {by_edge:?}"))).collect()
+}
+
 fn wait_until_ready(cluster: &Cluster) -> eyre::Result<()> {
     let began = Instant::now();
     while !(0..EDGES).all(|edge| cluster.ready(edge)) {
