--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -221,13 +221,18 @@
         lost.into_iter().map(|s| format!("LOST: no answer: {}", self.story(s))).collect()
     }
 
-    /// QUOTA: runs of the limited tenant in any window.
-    fn quota(&self) -> Option<String> {
+    /// The window with the most runs of the limited tenant: its begin and their number.
+    pub fn most_limited(&self) -> Option<(Seconds, usize)> {
         let of_tenant = self.seen.arrivals.iter().filter(|a| a.ran && a.tenant.as_deref() == Some(LIMITED.0));
         let mut times: Vec<Seconds> = of_tenant.map(|a| a.at).collect();
         times.sort_by(f64::total_cmp);
+        densest(&times, QUOTA_WINDOW)
+    }
+
+    /// QUOTA: runs of the limited tenant in any window.
+    fn quota(&self) -> Option<String> {
         let most = (RATE * QUOTA_WINDOW + BURST) * (1.0 + QUOTA_EXCESS) + QUOTA_SLACK;
-        let (at, count) = densest(&times, QUOTA_WINDOW)?;
+        let (at, count) = self.most_limited()?;
         (count as f64 > most)
             .then(|| format!("QUOTA: {count} runs in {QUOTA_WINDOW} s from {at:.1}, {most:.0} allowed"))
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -12,13 +12,13 @@
 const HELP: &str = "lupinledge-soak: the real programs on loopback under random faults, and a verdict
 
     lupinledge-soak --programs DIR [--from SEED] [--seeds N] [--seconds S] [--clients N] [--jobs N]
-                  [--keep DIR]
+                  [--keep DIR] [--keep-all]
 
 --programs: the folder of lupinledge-hive and lupinledge-forager, built with the feature `cuts`
 --from: the first seed (1); --seeds: how many (1); --seconds: how long troubles go on in each run (20)
 --clients: those that keep to the protocol, some twelve requests a second each (10)
 --jobs: runs at a time (1); --keep: the folder for settings, disks and logs (a temporary one). What a run without a
-violation left is removed.
+violation left is removed, unless --keep-all is given.
 ";
 
 fn main() -> ExitCode {
@@ -44,6 +44,7 @@
     let seconds: u64 = args.opt_value_from_str("--seconds")?.unwrap_or(20);
     let clients: u64 = args.opt_value_from_str("--clients")?.unwrap_or(CLIENTS);
     let jobs: u64 = args.opt_value_from_str("--jobs")?.unwrap_or(1);
+    let keep_all = args.contains("--keep-all");
     let keep: Option<PathBuf> = args.opt_value_from_str("--keep")?;
     let rest = args.finish();
     eyre::ensure!(rest.is_empty(), "{rest:?}: not understood; see --help");
@@ -63,9 +64,10 @@
             let verdict = run(&plan).wrap_err_with(|| format!("seed {seed}"))?;
             println!("seed={seed} violations={} {}", verdict.violations.len(), verdict.summary);
             verdict.violations.iter().for_each(|v| println!("seed={seed} {v}"));
-            match verdict.violations.is_empty() {
-                true => drop(std::fs::remove_dir_all(&folder)),
-                false => drop(broken.fetch_add(1, Ordering::SeqCst)),
+            if !verdict.violations.is_empty() {
+                broken.fetch_add(1, Ordering::SeqCst);
+            } else if !keep_all {
+                let _ = std::fs::remove_dir_all(&folder);
             }
         }
     };
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -215,7 +215,9 @@
 
 fn judge(record: &Record, cluster: &Cluster, scope: Scope) -> Verdict {
     let seen = record.seen();
-    let mut violations = Evidence::new(&seen).violations(scope);
+    let evidence = Evidence::new(&seen);
+    let mut violations = evidence.violations(scope);
+    let (at, limited) = evidence.most_limited().unwrap_or_default();
     violations.extend(of_logs(cluster));
     let mut endings: BTreeMap<String, usize> = BTreeMap::new();
     for sent in &seen.sent {
@@ -229,7 +231,7 @@
     let (requests, runs, troubles) =
         (seen.sent.len(), seen.arrivals.iter().filter(|a| a.ran).count(), seen.troubles.len());
     let summary = format!(
-        "requests={requests} runs={runs} endings={endings:?} versions={acknowledged}/{} troubles={troubles}",
+        "requests={requests} runs={runs} endings={endings:?} versions={acknowledged}/{} troubles={troubles} most_limited={limited}@{at:.1}",
         seen.versions.len()
     );
     Verdict { violations, summary }
