A data folder has one owner, and a member that starts asks before it votes

Cause: nothing kept a second process off a data folder; a folder did not say whose it is; and a member trusted its folder alone, though an older copy has forgotten votes and promises.

Change. storage: an advisory lock on a file in the folder (the standard library's), taken on a thread of its own; a second start waits 10 s, logs folder_in_use, then ends naming folder and holder. Agreement: the state bears its owner and the number of its cluster (drawn with the first change, counting once that is committed). A folder of another member learns as one with an empty disk (folder_of_another). A member that starts with a state sends Resume to the others and votes only once each has answered, or after 1.2 s; it takes over the newest promise and value among the answers. One that is told of a vote which it doesn't hold, or of a later incarnation of itself, or meets a majority of another cluster, learns anew. Prepare, Accept, News, Heartbeat and Learn of another cluster are dropped.

Shown impossible beyond: an older copy beside as many unreachable machines as may be lost is one loss more than is borne.

Tests in single steps let the member hear from the others first.

--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -73,6 +73,10 @@
             Found::State(state) => Some(rmp_serde::from_slice(&state)?),
             Found::Empty | Found::Spoilt => None,
         };
+        let other = kept.as_ref().map_or(0, |kept| kept.owner);
+        if other != 0 && other != settings.me {
+            tracing::warn!(event = "folder_of_another", owner = %Ipv4Addr::from(other));
+        }
         let queen = Queen::new(clock.now(), settings, kept);
         Ok(Rc::new(Agree {
             clock,
@@ -250,6 +254,11 @@
         !queen.amnesiac() && queen.members().contains(&self.me())
     }
 
+    /// Whether this process has no state that counts, and learns it from the others.
+    pub fn amnesiac(&self) -> bool {
+        self.queen.borrow().amnesiac()
+    }
+
     /// Whether what this process knows of the members is committed, with no change of them under way.
     pub fn settled(&self) -> bool {
         self.queen.borrow().settled()
@@ -337,6 +346,7 @@
             | Msg::AskNo { .. }
             | Msg::Heartbeat { .. }
             | Msg::HeartbeatOk { .. }
+            | Msg::Resume { .. }
             | Msg::Leave
     )
 }
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -15,7 +15,7 @@
 use lupinledge_propolis::turns::{Caller, Turns};
 use lupinledge_propolis::{Document, Homes, Print, Settings, Tables};
 use lupinledge_queen::{Ballot, Node};
-use lupinledge_skep::{DataDir, Found, Opened, Store};
+use lupinledge_skep::{DataDir, FolderLock, Found, Opened, Store};
 use lupinledge_waggle::{Card, Member, Standing};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -27,6 +27,8 @@
 
 /// What clients may keep an answer of the directory for.
 const TTL: f64 = 2.0;
+/// A process that is about to end may have the data folder for as long: its `grace_s`, and some.
+const FOLDER_WAIT: Duration = Duration::from_secs(10);
 const UPKEEP: Duration = Duration::from_secs(1);
 /// The holder's clock is looked at so often, in turns of the upkeep.
 const CLOCK_EACH: u64 = 10;
@@ -49,6 +51,7 @@
     /// The homes of hosts, and of which document.
     homes: RefCell<(Option<Ballot>, Homes)>,
     counts: Rc<Counts>,
+    _lock: FolderLock,
 }
 
 fn platform_of(settings: &Settings) -> eyre::Result<CloudApi> {
@@ -61,6 +64,8 @@
         let clock = Rc::new(Clock::start(settings.node()));
         let folder = settings.data_dir.clone().ok_or_else(|| eyre!("`data_dir`: the core needs a disk"))?;
         let platform = platform_of(&settings)?;
+        let owner = format!("{} (process {})", settings.ip, std::process::id());
+        let lock = FolderLock::take(folder.clone(), owner, FOLDER_WAIT).await.wrap_err("`data_dir`")?;
         let Opened { store, found, ends } = Store::open(DataDir(folder))?;
         let found = found.await.wrap_err("`data_dir`")?;
         let empty = !matches!(found, Found::State(_));
@@ -71,6 +76,7 @@
         let founding =
             lupinledge_queen::Settings { me: clock.me, seeds, bootstrap: settings.bootstrap, seed, tolerate };
         let agree = Agree::start(clock.clone(), founding, found, store).wrap_err("`data_dir`")?;
+        let empty = empty || agree.amnesiac();
         let card = Card {
             core: true,
             region: settings.region.clone(),
@@ -101,6 +107,7 @@
             directory: Directory::default(),
             homes: RefCell::default(),
             counts,
+            _lock: lock,
         });
         let host: Rc<dyn Host> = hive.clone();
         gossip.attend(Rc::downgrade(&host));
--- a/hive/tests/folder.rs
+++ b/hive/tests/folder.rs
@@ -38,6 +38,16 @@
     assert!(core.runs(0));
 }
 
+#[test]
+fn a_folder_is_had_once_its_owner_has_ended() {
+    let mut core = core();
+    let shared = core.data(0);
+    core.start_on(3, false, &shared);
+    core.logged(3, "event=folder_in_use");
+    core.kill(0);
+    core.logged(3, "event=started");
+}
+
 #[test]
 fn a_copied_folder_counts_only_once_it_has_learnt() {
     let mut core = core();
--- a/queen/src/acceptor.rs
+++ b/queen/src/acceptor.rs
@@ -37,8 +37,15 @@
         out.push(Out::Send(from, answer));
     }
 
-    pub(crate) fn on_prepare(&mut self, from: Node, epoch: u64, have: Ballot, out: &mut Vec<Out>) {
-        if self.learner.is_some() || epoch as Node != from {
+    pub(crate) fn on_prepare(
+        &mut self,
+        from: Node,
+        epoch: u64,
+        have: Ballot,
+        cluster: u64,
+        out: &mut Vec<Out>,
+    ) {
+        if self.learner.is_some() || epoch as Node != from || self.of_another(cluster) {
             return;
         }
         self.floor = self.floor.max(epoch);
@@ -62,7 +69,7 @@
     }
 
     pub(crate) fn on_accept(&mut self, from: Node, ballot: Ballot, value: Rc<Value>, out: &mut Vec<Out>) {
-        if self.learner.is_some() || ballot.epoch as Node != from {
+        if self.learner.is_some() || ballot.epoch as Node != from || self.of_another(value.cluster) {
             return;
         }
         let promised = self.disk.mem.promised;
@@ -101,7 +108,7 @@
         if epoch as Node != from {
             return;
         }
-        if self.learner.is_some() {
+        if self.learner.is_some() || self.resuming.is_some() {
             if self.seen.is_none_or(|seen| seen.epoch <= epoch) {
                 self.seen = Some(Seen { node: from, epoch, at: self.now });
             }
@@ -164,6 +171,9 @@
     }
 
     pub(crate) fn on_news(&mut self, ballot: Ballot, value: Rc<Value>, out: &mut Vec<Out>) {
+        if self.of_another(value.cluster) {
+            return;
+        }
         self.floor = self.floor.max(ballot.epoch);
         let mem = &self.disk.mem;
         if self.learner.is_none() && ballot > mem.ballot && ballot.epoch >= mem.promised {
--- a/queen/src/disk.rs
+++ b/queen/src/disk.rs
@@ -119,5 +119,10 @@
 
 /// Does the answer hold a value?
 fn carries(msg: &Msg) -> bool {
-    matches!(msg, Msg::Promise { value: Some(_), .. } | Msg::Learnt { value: Some(_), .. })
+    matches!(
+        msg,
+        Msg::Promise { value: Some(_), .. }
+            | Msg::Learnt { value: Some(_), .. }
+            | Msg::Resumed { value: Some(_), .. }
+    )
 }
--- a/queen/src/election.rs
+++ b/queen/src/election.rs
@@ -60,6 +60,11 @@
         self.calm = self.calm.min(self.now - WAIT + span);
     }
 
+    /// Stands in the order from now on at the earliest.
+    pub(crate) fn stand_in_order(&mut self) {
+        self.calm = self.calm.max(self.now - WAIT);
+    }
+
     /// Waits for so long, beside the order, before the next try.
     fn pause(&mut self, span: f64) {
         let spread = (dice(&mut self.random) % 100) as f64 / 500.0;
@@ -196,7 +201,8 @@
         for node in preparing.best.1.others(self.me) {
             if !preparing.tally.has(node) {
                 let (epoch, have) = (preparing.epoch, preparing.best.0);
-                out.push(Out::Send(node, Msg::Prepare { epoch, have }));
+                let cluster = preparing.best.1.cluster;
+                out.push(Out::Send(node, Msg::Prepare { epoch, have, cluster }));
             }
         }
     }
--- a/queen/src/holder.rs
+++ b/queen/src/holder.rs
@@ -1,5 +1,6 @@
 //! The holder of an epoch: heartbeats, proposals, read barriers.
 
+use crate::types::next_cluster;
 use crate::{dice, Ballot, Msg, Node, Out, Outcome, Queen, Role, Tally, Value, FRESH, ROUTE};
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -160,8 +161,9 @@
     }
 
     /// Puts the next value on its way; none may be on its way.
-    pub(crate) fn launch_next(&mut self, ticket: Option<u64>, value: Value, out: &mut Vec<Out>) {
+    pub(crate) fn launch_next(&mut self, ticket: Option<u64>, mut value: Value, out: &mut Vec<Out>) {
         let Role::Holding(holding) = &self.role else { return };
+        value.cluster = next_cluster(value.cluster, dice(&mut self.random));
         let ballot = Ballot { epoch: holding.epoch, index: self.disk.mem.ballot.index.saturating_add(1) };
         self.launch(ticket, ballot, Rc::new(value), out);
     }
@@ -172,8 +174,9 @@
             return;
         }
         if let Some((ticket, body)) = holding.queued.take() {
-            let value = &self.disk.mem.value;
-            let value = Value { members: value.members.clone(), outgoing: value.outgoing.clone(), body };
+            let Value { members, outgoing, cluster, .. } = &*self.disk.mem.value;
+            let (members, outgoing) = (members.clone(), outgoing.clone());
+            let value = Value { members, outgoing, body, cluster: *cluster };
             self.launch_next(Some(ticket), value, out);
         }
     }
@@ -209,6 +212,7 @@
         let Role::Holding(Holding { flight: Some(flight), .. }) = &mut self.role else { return };
         if flight.ballot == ballot {
             flight.tally.vote(from, incarnation, &incarnations);
+            self.told.insert(from, ballot);
             self.land_if_carried(out);
         }
     }
@@ -256,8 +260,9 @@
         }
         holding.sent.push_back((holding.nonce, self.now));
         let (epoch, nonce) = (holding.epoch, holding.nonce);
+        let cluster = self.disk.mem.value.cluster;
         for node in self.disk.mem.value.others(self.me) {
-            out.push(Out::Send(node, Msg::Heartbeat { epoch, commit, nonce }));
+            out.push(Out::Send(node, Msg::Heartbeat { epoch, commit, nonce, cluster }));
         }
         self.reach_barriers(out);
     }
--- a/queen/src/learn.rs
+++ b/queen/src/learn.rs
@@ -3,6 +3,7 @@
 //! It takes a new incarnation first, which those it asks keep on disk and tell with each of their votes. So a vote of
 //! the incarnation before is counted only where none of them voted after its answer, and their answers tell the rest.
 
+use crate::types::clusters_differ;
 use crate::{dice, Ballot, Kept, Msg, Node, Out, Queen, Value};
 use std::rc::Rc;
 
@@ -32,6 +33,11 @@
         }
     }
 
+    /// After an incarnation that is known to have been.
+    pub(crate) fn after(now: f64, nonce: u64, incarnation: u64) -> Learner {
+        Learner { incarnation: incarnation.saturating_add(1), ..Learner::new(now, nonce) }
+    }
+
     /// Did as many answer as make sure that one of them holds all that was acknowledged, and that none of the votes of
     /// the incarnations before counts without one of them? Of any majority the part without this member meets half of
     /// them: both others of three, three of five, two of four, the other one of two.
@@ -70,7 +76,8 @@
         // those that answered too: of what they hold since, fewer may be enough (the members were being changed)
         for node in known {
             let (incarnation, nonce, have) = (learner.incarnation, learner.nonce, learner.best.0);
-            out.push(Out::Send(node, Msg::Learn { incarnation, nonce, have }));
+            let cluster = learner.best.1.cluster;
+            out.push(Out::Send(node, Msg::Learn { incarnation, nonce, have, cluster }));
         }
     }
 
@@ -82,16 +89,19 @@
     pub(crate) fn on_learn(
         &mut self,
         from: Node,
-        incarnation: u64,
-        nonce: u64,
+        (incarnation, nonce): (u64, u64),
         have: Ballot,
+        cluster: u64,
         out: &mut Vec<Out>,
     ) {
         if self.learner.is_some() || !self.keep_incarnation(from, incarnation, nonce, out) {
             return;
         }
+        // votes of the incarnation before bind it no more
+        self.told.remove(&from);
+        let newer = self.disk.mem.ballot > have || have == Ballot::default() || self.of_another(cluster);
         let mem = &self.disk.mem;
-        let value = (mem.ballot > have || have == Ballot::default()).then(|| mem.value.clone());
+        let value = newer.then(|| mem.value.clone());
         let (promised, ballot, incarnations) = (mem.promised, mem.ballot, mem.incarnations.clone());
         self.disk.tell(from, Msg::Learnt { incarnation, nonce, promised, ballot, value, incarnations }, out);
     }
@@ -123,10 +133,7 @@
     pub(crate) fn on_newer_incarnation(&mut self, incarnation: u64) {
         let Some(learner) = &mut self.learner else { return };
         if incarnation >= learner.incarnation {
-            *learner = Learner {
-                incarnation: incarnation.saturating_add(1),
-                ..Learner::new(self.now, dice(&mut self.random))
-            };
+            *learner = Learner::after(self.now, dice(&mut self.random), incarnation);
         }
     }
 
@@ -143,7 +150,11 @@
         if incarnation != (learner.incarnation, learner.nonce) {
             return;
         }
+        // what was learnt of one cluster and what of another don't make a whole
+        let own = learner.best.1.cluster;
+        let other = |value: &Rc<Value>| clusters_differ(own, value.cluster);
         match value {
+            Some(value) if other(&value) => return,
             Some(value) if learner.answered.is_empty() || ballot > learner.best.0 => {
                 learner.best = (ballot, value);
             }
@@ -154,15 +165,7 @@
             learner.answered.push(from);
         }
         learner.promised = learner.promised.max(promised).max(ballot.epoch);
-        for (node, incarnation, nonce) in incarnations {
-            if let Some(kept) = learner.incarnations.iter_mut().find(|kept| kept.0 == node) {
-                if kept.1 < incarnation {
-                    *kept = (node, incarnation, nonce);
-                }
-            } else if node != self.me && learner.incarnations.len() < INCARNATIONS_MOST {
-                learner.incarnations.push((node, incarnation, nonce));
-            }
-        }
+        merge_incarnations(&mut learner.incarnations, incarnations, self.me);
         if learner.complete(self.me) {
             self.rejoin();
         }
@@ -175,10 +178,24 @@
         else {
             return;
         };
-        self.disk.mem = Kept { promised, ballot, value, amnesiac: false, incarnation, incarnations };
+        let owner = self.me;
+        self.disk.mem = Kept { promised, ballot, value, amnesiac: false, incarnation, incarnations, owner };
         self.disk.changed();
         self.floor = self.floor.max(promised);
         self.calm = self.now;
         self.next_join = self.now;
     }
 }
+
+/// Takes the newer incarnations of others over.
+pub(crate) fn merge_incarnations(own: &mut Vec<(Node, u64, u64)>, told: Vec<(Node, u64, u64)>, me: Node) {
+    for (node, incarnation, nonce) in told {
+        if let Some(kept) = own.iter_mut().find(|kept| kept.0 == node) {
+            if kept.1 < incarnation {
+                *kept = (node, incarnation, nonce);
+            }
+        } else if node != me && own.len() < INCARNATIONS_MOST {
+            own.push((node, incarnation, nonce));
+        }
+    }
+}
--- a/queen/src/lib.rs
+++ b/queen/src/lib.rs
@@ -12,12 +12,14 @@
 mod learn;
 mod leave;
 mod membership;
+mod resume;
 mod types;
 
 use disk::Disk;
 use election::{Asking, Preparing};
 use holder::Holding;
 use learn::Learner;
+use resume::Resuming;
 use std::{collections::BTreeMap, rc::Rc};
 pub use types::*;
 
@@ -67,6 +69,12 @@
     patience: Option<(Node, f64)>,
     /// Some: the disk was empty, and no part is taken in any vote.
     learner: Option<Learner>,
+    /// Some: it has just started, and asks the others whether its state is the newest before it votes.
+    resuming: Option<Resuming>,
+    /// Who answered nothing while this process was resuming.
+    unanswering: Vec<Node>,
+    /// Up to which ballot others told this process that they voted.
+    told: BTreeMap<Node, Ballot>,
     role: Role,
     /// Who asks to be admitted: since when, and when last.
     joiners: BTreeMap<Node, (f64, f64)>,
@@ -91,11 +99,14 @@
             tolerate.saturating_mul(2).saturating_add(1).clamp(membership::MEMBERS_LEAST, MEMBERS_MOST);
         seeds.sort_unstable();
         seeds.dedup();
-        let kept = kept.filter(|kept| !kept.amnesiac);
+        // who had a state once founds nothing, whatever became of that
         let founds = kept.is_none() && bootstrap && seeds.contains(&me);
+        let kept = kept.filter(|kept| !kept.amnesiac && (kept.owner == me || kept.owner == 0));
         let mut random = seed ^ (u64::from(me) << 32);
         let learner = (kept.is_none() && !founds).then(|| Learner::new(now, dice(&mut random)));
+        let resuming = kept.is_some().then(|| Resuming::new(now, dice(&mut random)));
         let mut disk = Disk::new(kept.unwrap_or_default());
+        disk.mem.owner = me;
         if founds {
             disk.mem.value = Rc::new(Value { members: seeds.clone(), ..Value::default() });
             disk.changed();
@@ -116,6 +127,9 @@
             calm: now - election::AT_START,
             patience: None,
             learner,
+            resuming,
+            unanswering: Vec::new(),
+            told: BTreeMap::new(),
             role: Role::Follower,
             joiners: BTreeMap::new(),
             join_heard: f64::NEG_INFINITY,
@@ -131,9 +145,10 @@
     /// To be called right after `new`, and no later than `next_wake`.
     pub fn tick(&mut self, now: f64, out: &mut Vec<Out>) {
         self.enter(now);
+        self.resume_tick(out);
         if self.learner.is_some() {
             self.learn_tick(out);
-        } else {
+        } else if self.resuming.is_none() {
             match self.role {
                 Role::Follower => self.follow_tick(out),
                 Role::Asking(_) => self.asking_tick(out),
@@ -150,12 +165,14 @@
     pub fn next_wake(&self) -> f64 {
         let role = match &self.role {
             _ if self.learner.is_some() => self.learn_wake(),
+            _ if self.resuming.is_some() => self.resume_wake(),
             Role::Follower => self.follow_wake(),
             Role::Asking(asking) => asking.wake(),
             Role::Preparing(preparing) => preparing.wake(),
             Role::Holding(holding) => holding.wake(),
         };
-        let joins = self.learner.is_none() && self.leaving.is_none() && !self.member() && self.disk.idle();
+        let settled = self.learner.is_none() && self.resuming.is_none();
+        let joins = settled && self.leaving.is_none() && !self.member() && self.disk.idle();
         let join = if joins { self.next_join } else { f64::INFINITY };
         role.min(join).min(self.leave_wake()).min(self.disk.wake().unwrap_or(f64::INFINITY)).max(self.now)
     }
@@ -170,6 +187,9 @@
             self.heard.insert(from, self.now);
         }
         self.back_if_late(from, &msg);
+        if self.resuming.is_some() && waits_for_resume(&msg) {
+            return;
+        }
         match msg {
             Msg::Alive => {}
             Msg::Ask { n } => self.on_ask(from, n, out),
@@ -177,7 +197,7 @@
             Msg::AskNo { promised, holder, commit, .. } => {
                 self.on_ask_no(from, promised, holder, commit, out)
             }
-            Msg::Prepare { epoch, have } => self.on_prepare(from, epoch, have, out),
+            Msg::Prepare { epoch, have, cluster } => self.on_prepare(from, epoch, have, cluster, out),
             Msg::Promise { epoch, ballot, value, incarnation, incarnations } => {
                 self.on_promise(from, epoch, ballot, value, (incarnation, incarnations), out);
             }
@@ -189,16 +209,24 @@
                 self.told_commit(from, commit, out);
                 self.on_refused(epoch, promised, out);
             }
-            Msg::Heartbeat { epoch, commit, nonce } => self.on_heartbeat(from, epoch, commit, nonce, out),
+            Msg::Heartbeat { cluster, .. } if self.of_another(cluster) => {}
+            Msg::Heartbeat { epoch, commit, nonce, .. } => self.on_heartbeat(from, epoch, commit, nonce, out),
             Msg::HeartbeatOk { epoch, nonce } => self.on_heartbeat_ok(from, epoch, nonce, out),
             Msg::Quit { epoch, next } => self.on_quit(from, epoch, next),
             Msg::Fetch { have } => self.on_fetch(from, have, out),
             Msg::News { ballot, value } => self.on_news(ballot, value, out),
-            Msg::Learn { incarnation, nonce, have } => self.on_learn(from, incarnation, nonce, have, out),
+            Msg::Learn { incarnation, nonce, have, cluster } => {
+                self.on_learn(from, (incarnation, nonce), have, cluster, out)
+            }
             Msg::Learnt { incarnation, nonce, promised, ballot, value, incarnations } => {
                 self.on_learnt(from, (incarnation, nonce), promised, ballot, value, incarnations);
             }
             Msg::NewerIncarnation { incarnation } => self.on_newer_incarnation(incarnation),
+            Msg::Resume { nonce, have, cluster } => self.on_resume(from, nonce, have, cluster, out),
+            Msg::Resumed { nonce, promised, ballot, value, incarnations, forgotten } => {
+                let held = Kept { promised, ballot, incarnations, ..Kept::default() };
+                self.on_resumed(from, nonce, held, value, forgotten);
+            }
             Msg::Join => self.on_join(from, out),
             Msg::Leave => self.on_leave(from, out),
         }
@@ -284,6 +312,11 @@
         }
     }
 
+    /// Is that the number of another cluster than this node's?
+    fn of_another(&self, cluster: u64) -> bool {
+        types::clusters_differ(self.newest().cluster, cluster)
+    }
+
     /// The newest value met: of the disk, or told to be committed.
     fn newest(&self) -> &Value {
         match &self.committed {
@@ -341,6 +374,11 @@
     }
 }
 
+/// Is this left unanswered by a member that doesn't know yet whether its state is the newest?
+fn waits_for_resume(msg: &Msg) -> bool {
+    matches!(msg, Msg::Ask { .. } | Msg::Prepare { .. } | Msg::Accept { .. } | Msg::Learn { .. })
+}
+
 /// The next number of a sequence (splitmix64).
 pub(crate) fn dice(state: &mut u64) -> u64 {
     *state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/queen/src/membership.rs
+++ b/queen/src/membership.rs
@@ -63,7 +63,7 @@
         let quiet = |node: Node| match self.heard.get(&node) {
             _ if node == self.me => 0.0,
             Some(at) => now - at.max(since),
-            None => now - since,
+            None => now - since + self.silent_before(node),
         };
         // First those that said so, the holder itself after others, then who is silent for longest. The holder itself
         // not while another may be gone, who answered nothing that was sent since: the next holder would judge its
@@ -102,7 +102,7 @@
             _ => return,
         }
         members.sort_unstable();
-        let next = Value { members, outgoing: value.members.clone(), body: value.body.clone() };
+        let next = Value { members, outgoing: value.members.clone(), ..Value::clone(&value) };
         if next.carried(|m| Some(m) == joiner || quiet(m) <= FRESH) {
             self.launch_next(None, next, out);
         }
--- a/queen/src/types.rs
+++ b/queen/src/types.rs
@@ -28,6 +28,27 @@
     pub outgoing: Vec<Node>,
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
+    /// Which cluster this is of, see [`next_cluster`]; 0 before its first change.
+    #[serde(default)]
+    pub cluster: u64,
+}
+
+/// A number of a cluster counts once the value that it was drawn with is known to be committed: two first changes may be
+/// on their way, of which one is dropped. It is odd until then.
+const DRAWN: u64 = 1;
+
+/// The number that the value after one with this number bears; that one is committed.
+pub(crate) fn next_cluster(cluster: u64, draw: u64) -> u64 {
+    match cluster {
+        0 => draw | 2 | DRAWN,
+        cluster => cluster & !DRAWN,
+    }
+}
+
+/// Are these numbers of two clusters?
+pub(crate) fn clusters_differ(a: u64, b: u64) -> bool {
+    let counts = |cluster: u64| cluster != 0 && cluster & DRAWN == 0;
+    counts(a) && counts(b) && a != b
 }
 
 /// State of a member that must outlive power loss. The driver writes it whole and atomically.
@@ -37,12 +58,15 @@
     pub promised: u64,
     pub ballot: Ballot,
     pub value: Rc<Value>,
-    /// Never true in a state handed out to be saved; one read back with true counts as no disk.
+    /// What was held is known to be out of date: a state read back with true counts as no disk.
     pub amnesiac: bool,
     /// How often this node lost its disk. Votes of an earlier incarnation don't count.
     pub incarnation: u64,
     /// Lives of others whose disks were lost, as they told: node, incarnation, nonce.
     pub incarnations: Vec<(Node, u64, u64)>,
+    /// Whose state this is; 0 in states of older builds.
+    #[serde(default)]
+    pub owner: Node,
 }
 
 /// Settings of a member.
@@ -83,6 +107,7 @@
     Prepare {
         epoch: u64,
         have: Ballot,
+        cluster: u64,
     },
     /// Promised; `value` is there if `ballot` is above what the candidate had.
     Promise {
@@ -113,6 +138,7 @@
         epoch: u64,
         commit: Ballot,
         nonce: u64,
+        cluster: u64,
     },
     HeartbeatOk {
         epoch: u64,
@@ -136,6 +162,7 @@
         incarnation: u64,
         nonce: u64,
         have: Ballot,
+        cluster: u64,
     },
     Learnt {
         incarnation: u64,
@@ -149,6 +176,22 @@
     NewerIncarnation {
         incarnation: u64,
     },
+    /// I start with a state that ends at `have`: do you hold newer?
+    Resume {
+        nonce: u64,
+        have: Ballot,
+        cluster: u64,
+    },
+    /// What is held here; `value` is there if `ballot` is above what was told, or of another cluster.
+    Resumed {
+        nonce: u64,
+        promised: u64,
+        ballot: Ballot,
+        value: Option<Rc<Value>>,
+        incarnations: Vec<(Node, u64, u64)>,
+        /// The asking node voted for more than it holds now.
+        forgotten: bool,
+    },
     /// Admit me.
     Join,
     /// I am told to end: strike me, if the others are enough.
--- a/queen/tests/faults/copies.rs
+++ b/queen/tests/faults/copies.rs
@@ -50,3 +50,59 @@
         copies(seed, &[10, 20, 30, 40, 50], seed % 3 != 0);
     }
 }
+
+/// Puts that state on a member's disk while the others serve on, and starts it again.
+fn put_back(world: &mut World, node: Node, kept: Kept) {
+    world.kill(node);
+    world.machines.entry(node).and_modify(|machine| machine.disk.kept = Some(kept));
+    world.start(node);
+}
+
+fn kept(world: &World, node: Node) -> Kept {
+    world.machines[&node].disk.kept.clone().expect("it has a state")
+}
+
+#[test]
+fn one_that_voted_for_more_than_it_holds_learns_anew() {
+    let mut world = World::new(5, &[10, 20, 30]);
+    let holder = world.leader();
+    let other = world.seeds.iter().copied().find(|&node| node != holder).unwrap();
+    world.acknowledge();
+    let older = kept(&world, other);
+    world.acknowledge();
+    world.run(0.5);
+    put_back(&mut world, other, older);
+    let amnesiac = |world: &mut World| world.process(other).is_some_and(|m| m.queen.amnesiac());
+    assert!(world.run_until(2.0, amnesiac), "nobody told it");
+    assert!(world.run_until(3.0, |world| world.agreed()));
+    assert!(!amnesiac(&mut world));
+}
+
+#[test]
+fn a_folder_of_another_cluster_counts_nowhere() {
+    for seed in 0..20 {
+        let (mut own, mut other) = (World::new(seed, &[10, 20, 30]), World::new(seed + 100, &[10, 20, 30]));
+        for _ in 0..3 {
+            own.acknowledge();
+        }
+        // what the other one holds is under higher epochs
+        for _ in 0..3 {
+            other.acknowledge();
+            let holder = other.leader();
+            other.kill(holder);
+            other.run(2.0);
+            other.start(holder);
+            other.acknowledge();
+        }
+        let holder = own.leader();
+        let node = own.seeds.iter().copied().find(|&node| node != holder).unwrap();
+        let foreign = kept(&other, node);
+        put_back(&mut own, node, foreign);
+        own.acknowledge();
+        own.kill(holder);
+        own.run(0.5);
+        own.start(holder);
+        own.acknowledge();
+        assert!(own.run_until(5.0, |world| world.agreed()), "seed {seed}");
+    }
+}
--- a/queen/tests/faults/main.rs
+++ b/queen/tests/faults/main.rs
@@ -1,5 +1,8 @@
 //! Agreement under faults, in an emulated world; the same verdict in each run.
 
+#[path = "../common/mod.rs"]
+mod common;
+
 mod cases;
 mod check;
 mod copies;
--- a/queen/tests/faults/steps.rs
+++ b/queen/tests/faults/steps.rs
@@ -1,5 +1,6 @@
 //! Single steps of one member, the others played by hand.
 
+use crate::common::resume;
 use lupinledge_queen::{Ballot, Kept, Msg, Node, Out, Outcome, Queen, Settings, Value};
 use std::rc::Rc;
 
@@ -26,7 +27,11 @@
 impl One {
     fn new(me: Node, kept: Option<Kept>) -> One {
         let settings = Settings { me, seeds: THREE.to_vec(), bootstrap: false, seed: 1, tolerate: 1 };
-        let queen = Queen::new(0.0, settings, kept);
+        let starts = kept.is_some();
+        let mut queen = Queen::new(0.0, settings, kept);
+        if starts {
+            resume(&mut queen, 0.0);
+        }
         One { queen, now: 0.0, saving: None, sent: Vec::new(), done: Vec::new(), won: None }
     }
 
@@ -103,7 +108,7 @@
 fn nothing_is_promised_or_accepted_before_it_is_on_disk() {
     let mut one = One::new(10, Some(kept(&THREE)));
     let asked = epoch(1, 20);
-    assert_eq!(one.heard(20, Msg::Prepare { epoch: asked, have: Ballot::default() }), []);
+    assert_eq!(one.heard(20, Msg::Prepare { epoch: asked, have: Ballot::default(), cluster: 0 }), []);
     assert!(matches!(one.saved()[..], [(20, Msg::Promise { .. })]));
     let value = kept(&THREE).value;
     assert_eq!(one.heard(20, Msg::Accept { ballot: ballot(asked, 1), value }), []);
@@ -116,9 +121,12 @@
     let low = epoch(4, 30);
     let refused = vec![(30, Msg::Refused { epoch: low, promised: epoch(5, 20), commit: Ballot::default() })];
     let value = kept(&THREE).value;
-    assert_eq!(one.heard(30, Msg::Prepare { epoch: low, have: Ballot::default() }), refused);
+    assert_eq!(one.heard(30, Msg::Prepare { epoch: low, have: Ballot::default(), cluster: 0 }), refused);
     assert_eq!(one.heard(30, Msg::Accept { ballot: ballot(low, 9), value }), refused);
-    assert_eq!(one.heard(30, Msg::Heartbeat { epoch: low, commit: Ballot::default(), nonce: 1 }), refused);
+    assert_eq!(
+        one.heard(30, Msg::Heartbeat { epoch: low, commit: Ballot::default(), nonce: 1, cluster: 0 }),
+        refused
+    );
     assert_eq!(one.saving, None);
 }
 
@@ -146,7 +154,7 @@
     let mut one = One::new(10, Some(kept(&THREE)));
     one.stand(&[20]);
     one.saved();
-    one.heard(30, Msg::Learn { incarnation: 1, nonce: 7, have: Ballot::default() });
+    one.heard(30, Msg::Learn { incarnation: 1, nonce: 7, have: Ballot::default(), cluster: 0 });
     one.heard(20, promise(epoch(1, 10), Ballot::default(), None));
     one.heard(20, accepted(ballot(epoch(1, 10), 0), 0, &[]));
     one.saved();
@@ -176,7 +184,7 @@
     one.hold(10, &[20]);
     let found = ballot(epoch(1, 10), 0);
     one.heard(20, accepted(found, 0, &[]));
-    one.heard(20, Msg::Learn { incarnation: 1, nonce: 7, have: Ballot::default() });
+    one.heard(20, Msg::Learn { incarnation: 1, nonce: 7, have: Ballot::default(), cluster: 0 });
     one.saved();
     one.saved();
     assert_eq!(one.won, None);
@@ -186,7 +194,7 @@
 
 #[test]
 fn a_change_of_the_roll_needs_both_majorities() {
-    let change = Value { members: vec![10, 20, 40], outgoing: THREE.to_vec(), body: Vec::new() };
+    let change = Value { members: vec![10, 20, 40], outgoing: THREE.to_vec(), ..Value::default() };
     let start = Kept { value: Rc::new(change), ballot: ballot(epoch(0, 10), 3), ..Kept::default() };
     let mut one = One::new(10, Some(start));
     // 10 and 40 are a majority of the new members alone: neither to hold the epoch nor to settle the value.
@@ -226,11 +234,11 @@
         other => panic!("{other:?}"),
     };
     let value = kept(&THREE).value;
-    let prepare = |round| Msg::Prepare { epoch: epoch(round, 20), have: Ballot::default() };
+    let prepare = |round| Msg::Prepare { epoch: epoch(round, 20), have: Ballot::default(), cluster: 0 };
     assert_eq!(one.heard(20, prepare(1)), []);
     assert_eq!(one.heard(20, Msg::Accept { ballot: ballot(epoch(1, 20), 1), value: value.clone() }), []);
     assert_eq!(one.heard(20, Msg::Ask { n: 1 }), []);
-    let beat = Msg::Heartbeat { epoch: epoch(1, 20), commit: Ballot::default(), nonce: 1 };
+    let beat = Msg::Heartbeat { epoch: epoch(1, 20), commit: Ballot::default(), nonce: 1, cluster: 0 };
     assert_eq!(one.heard(20, beat), [(20, Msg::Alive)]);
     let learnt = |promised, ballot| {
         let (value, incarnations) = (Some(value.clone()), Vec::new());
--- a/queen/tests/large.rs
+++ b/queen/tests/large.rs
@@ -1,6 +1,9 @@
 //! A large value on its way to members that don't answer, or wanted from a holder that doesn't: how often it is sent,
 //! or asked for, again.
 
+mod common;
+
+use common::resume;
 use lupinledge_queen::{Ballot, Kept, Msg, Node, Out, Queen, Settings, Value};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -71,13 +74,15 @@
 /// How often a member that is behind asks for the newest in ten seconds, of a holder that does not answer that.
 fn asked(body: usize) -> usize {
     let (epoch, index) = (1 << 32 | 2, 1);
-    let value = Rc::new(Value { members: vec![1, 2, 3], outgoing: Vec::new(), body: vec![0; body] });
+    let value =
+        Rc::new(Value { members: vec![1, 2, 3], outgoing: Vec::new(), body: vec![0; body], cluster: 0 });
     let kept = Kept { promised: epoch, ballot: Ballot { epoch, index }, value, ..Kept::default() };
     let settings = Settings { me: 1, seeds: vec![1, 2, 3], bootstrap: false, seed: 7, tolerate: 1 };
     let (mut queen, mut out) = (Queen::new(0.0, settings, Some(kept)), Vec::new());
+    resume(&mut queen, 0.0);
     for nth in 1..=100 {
         let commit = Ballot { epoch, index: 1 + nth };
-        queen.heard(nth as f64 * 0.1, 2, Msg::Heartbeat { epoch, commit, nonce: nth }, &mut out);
+        queen.heard(nth as f64 * 0.1, 2, Msg::Heartbeat { epoch, commit, nonce: nth, cluster: 0 }, &mut out);
     }
     out.iter().filter(|out| matches!(out, Out::Send(2, Msg::Fetch { .. }))).count()
 }
--- a/queen/tests/stalled.rs
+++ b/queen/tests/stalled.rs
@@ -1,5 +1,8 @@
 //! A disk that does nothing while others go on asking: what waits for it does not grow with them.
 
+mod common;
+
+use common::resume;
 use lupinledge_queen::{Ballot, Kept, Msg, Node, Out, Queen, Settings, Value};
 use std::rc::{Rc, Weak};
 
@@ -8,16 +11,20 @@
 const CHANGES: u64 = 1_000;
 
 fn value(body: u64) -> Rc<Value> {
-    Rc::new(Value { members: vec![1, 2, 3], outgoing: Vec::new(), body: body.to_le_bytes().to_vec() })
+    Rc::new(Value {
+        members: vec![1, 2, 3],
+        outgoing: Vec::new(),
+        body: body.to_le_bytes().to_vec(),
+        cluster: 0,
+    })
 }
 
 fn member() -> Queen {
     let kept = Kept { ballot: Ballot { epoch: 1 << 32 | 2, index: 1 }, value: value(0), ..Kept::default() };
-    Queen::new(
-        0.0,
-        Settings { me: ME, seeds: vec![1, 2, 3], bootstrap: false, seed: 7, tolerate: 1 },
-        Some(kept),
-    )
+    let settings = Settings { me: ME, seeds: vec![1, 2, 3], bootstrap: false, seed: 7, tolerate: 1 };
+    let mut queen = Queen::new(0.0, settings, Some(kept));
+    resume(&mut queen, 0.0);
+    queen
 }
 
 fn saves(out: &[Out]) -> Vec<u64> {
@@ -30,7 +37,7 @@
     let epoch = 2 << 32 | u64::from(HOLDER);
     for nth in 0..CHANGES {
         let now = nth as f64 * 0.25;
-        queen.heard(now, HOLDER, Msg::Prepare { epoch, have: Ballot::default() }, &mut out);
+        queen.heard(now, HOLDER, Msg::Prepare { epoch, have: Ballot::default(), cluster: 0 }, &mut out);
     }
     let [ticket] = saves(&out)[..] else { panic!("one save at a time") };
     out.clear();
@@ -46,7 +53,7 @@
     let mut values: Vec<Weak<Value>> = Vec::new();
     for index in 2..CHANGES {
         let now = index as f64 * 0.1;
-        queen.heard(now, HOLDER, Msg::Prepare { epoch, have: Ballot::default() }, &mut out);
+        queen.heard(now, HOLDER, Msg::Prepare { epoch, have: Ballot::default(), cluster: 0 }, &mut out);
         let value = value(index);
         values.push(Rc::downgrade(&value));
         queen.heard(now, HOLDER, Msg::Accept { ballot: Ballot { epoch, index }, value }, &mut out);
--- a/skep/src/lib.rs
+++ b/skep/src/lib.rs
@@ -5,16 +5,18 @@
 //! whose snapshot was spoilt is told apart from an empty one ([`Found::Spoilt`]): its member has lost its memory
 //! and must learn as after the loss of its disk, but it may not found anything.
 //!
-//! [`Store`] runs a [`Disk`] on a thread of its own, so that a disk that stalls stops neither probes nor answers.
+//! [`FolderLock`] keeps a second process off the folder. [`Store`] runs a [`Disk`] on a thread of its own, so that a disk that stalls stops neither probes nor answers.
 
 mod disk;
 mod folder;
+mod lock;
 mod log;
 mod snapshot;
 mod store;
 
 pub use disk::{Disk, Found, LOG_MOST, STATE_MOST};
 pub use folder::{DataDir, Folder, LogStep};
+pub use lock::{FolderLock, InUse};
 pub use store::{Opened, Saved, Store};
 
 /// A serial number and the state that was saved under it.
