Tests: the holder's disk is lost while its change of the members is on its way (known red)

One member is gone for good, its successor accepted the joint change, the holder that proposed it loses its disk: it asks half of the old members, of which one is gone, and nobody ever speaks again.

--- a/queen/tests/faults/main.rs
+++ b/queen/tests/faults/main.rs
@@ -4,6 +4,7 @@
 mod common;
 
 mod cases;
+mod changes;
 mod check;
 mod copies;
 mod days;
