Operators can found the core anew from the members that are left

Cause: after losses beyond what is borne the core stands still for good, and there was no way out but to begin with empty disks.

Change: GET /lupinledge/core tells what a member holds, POST /lupinledge/core/found founds the core anew from it, and the commands `core` and `found` do both for several members. Refused while a majority of members that can vote answers or answered within 3 s, for a member that learns or has just started, and where the named state is not its newest or another one shown holds a newer. The one goes on alone, 65,536 rounds of epochs ahead, as a new generation of its cluster; members of an earlier generation are told so at their first word, forget what they hold, learn and are admitted, also where they are a majority of the old members.

Ruled out: telling the survivors with the command (those that come back later would not be fenced); a learner as one that answers (it can't vote, and would block the way out where its disk is what was lost).

The three ways in which a member asks a control address are one.

--- a/forager/src/main.rs
+++ b/forager/src/main.rs
@@ -17,5 +17,5 @@
 fn main() -> std::process::ExitCode {
     let (name, version) = ("lupinledge-forager", env!("CARGO_PKG_VERSION"));
     let what = "the data plane of lupinledge, on the edge machines";
-    cli::main(About { name, version, what, nodes: None }, start::run)
+    cli::main(About { name, version, what, commands: &[] }, start::run)
 }
--- a/gossip/src/cli.rs
+++ b/gossip/src/cli.rs
@@ -15,8 +15,20 @@
     pub version: &'static str,
     /// What it is, in a line.
     pub what: &'static str,
-    /// What answers `nodes ADDRESS`, where the program has that.
-    pub nodes: Option<fn(&str) -> eyre::Result<String>>,
+    /// What it can be asked for beside that.
+    pub commands: &'static [SubCommand],
+}
+
+/// A command that asks running processes for something and prints what they say.
+pub struct SubCommand {
+    /// Its name.
+    pub name: &'static str,
+    /// Its arguments, as the help shows them.
+    pub arguments: &'static str,
+    /// What it does, in a line.
+    pub what: &'static str,
+    /// Runs it with its arguments.
+    pub run: fn(&[String]) -> eyre::Result<String>,
 }
 
 /// Runs a program's `main`: `run` without arguments, or what the arguments ask for.
@@ -35,7 +47,7 @@
     mut args: pico_args::Arguments,
     run: fn() -> eyre::Result<()>,
 ) -> eyre::Result<ExitCode> {
-    let About { name, version, what, nodes } = about;
+    let About { name, version, what, commands } = about;
     if args.contains(["-h", "--help"]) {
         println!(
             "{name}: {what}\n\n    \
@@ -44,10 +56,10 @@
              {}{name} --help\n    \
              {name} --version\n\n\
              While it runs: SIGHUP has the settings read anew, SIGTERM ends it in order.",
-            match nodes {
-                Some(_) => format!("{name} nodes ADDRESS lists all nodes with the rules they go by\n    "),
-                None => String::new(),
-            }
+            commands
+                .iter()
+                .map(|c| format!("{name} {} {}\n        {}\n    ", c.name, c.arguments, c.what))
+                .collect::<String>()
         );
         return Ok(ExitCode::SUCCESS);
     }
@@ -56,12 +68,12 @@
         return Ok(ExitCode::SUCCESS);
     }
     let command = args.subcommand()?;
+    if let Some(asked) = commands.iter().find(|c| Some(c.name) == command.as_deref()) {
+        let rest = args.finish().into_iter().map(|arg| arg.to_string_lossy().into_owned());
+        print!("{}", (asked.run)(&rest.collect::<Vec<_>>())?);
+        return Ok(ExitCode::SUCCESS);
+    }
     let file = match command.as_deref() {
-        Some("nodes") if nodes.is_some() => {
-            let at = args.free_from_str::<String>().wrap_err("nodes")?;
-            nodes.iter().try_for_each(|ask| ask(&at).map(|text| print!("{text}")))?;
-            return Ok(ExitCode::SUCCESS);
-        }
         Some("check") => Some(args.free_from_str::<String>().wrap_err("check")?),
         Some(other) => eyre::bail!("`{other}`: no such command; see --help"),
         None => None,
--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -4,7 +4,7 @@
 use lupinledge_invariants::{check, Invariant};
 use lupinledge_messaging::{Post, Word};
 use lupinledge_propolis::Document;
-use lupinledge_queen::{Ballot, Kept, Msg, Node, Out, Outcome, Queen, Settings};
+use lupinledge_queen::{Ballot, Kept, Msg, Node, NotFounded, Out, Outcome, Queen, Settings};
 use lupinledge_skep::{Found, Saved, Store};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
@@ -264,6 +264,21 @@
         self.queen.borrow().settled()
     }
 
+    /// What this member holds.
+    pub fn standing(&self) -> lupinledge_queen::Standing {
+        self.queen.borrow().standing(self.clock.now())
+    }
+
+    /// Founds the core anew from this member's state, see [`Queen::found_anew`].
+    pub fn found_anew(&self, newest: Ballot) -> Result<(), NotFounded> {
+        let mut founded = Ok(());
+        self.turn(|queen, now, out| {
+            founded = queen.found_anew(now, newest);
+            queen.tick(now, out);
+        });
+        founded
+    }
+
     /// Other machines of the core, known from elsewhere.
     pub fn hint(&self, nodes: &[Node]) {
         self.queen.borrow_mut().hint(nodes);
--- a/hive/src/control.rs
+++ b/hive/src/control.rs
@@ -1,6 +1,7 @@
 //! The HTTP side: calls of the operator and of clients that ask where to go.
 
 use crate::command::{asked, of_query, Asked, Command, Reply};
+use crate::founding::{named_state, FOUND};
 use crate::hive::Hive;
 use bytes::Bytes;
 use eyre::WrapErr;
@@ -160,6 +161,8 @@
         let command = match asked(&head.method, path) {
             Asked::Resolve => return self.resolve(head.uri.query().unwrap_or_default()),
             Asked::Nodes => return json(StatusCode::OK, self.hive.nodes()),
+            Asked::Core => return json(StatusCode::OK, self.hive.core()),
+            Asked::FoundAnew => return self.found_anew(head.uri.query().unwrap_or_default()),
             Asked::Metrics => return Response::new(Full::from(self.hive.metrics())),
             Asked::Ready(command) => command,
             Asked::Put => match self.whole(body).await {
@@ -195,6 +198,18 @@
         }
     }
 
+    /// Founds the core anew from the state that is named.
+    fn found_anew(&self, query: &str) -> Answer {
+        let newest = of_query(query, "newest").flatten();
+        let Some(newest) = newest.as_deref().and_then(named_state) else {
+            return refuse(Kind::Malformed, "newest");
+        };
+        match self.hive.found_anew(newest) {
+            Ok(()) => told(Reply::Done, FOUND),
+            Err(why) => refuse(Kind::Stale, &why),
+        }
+    }
+
     /// Where a client may go.
     fn resolve(&self, query: &str) -> Answer {
         let (Some(region), Some(_), Some(name)) =
--- a/hive/src/main.rs
+++ b/hive/src/main.rs
@@ -7,15 +7,17 @@
 mod control;
 mod counts;
 mod directory;
+mod founding;
 mod hive;
 mod nodes;
+mod operator;
 mod platform;
 mod run;
 
 use control::Control;
 use eyre::WrapErr;
 use hive::Hive;
-use lupinledge_gossip::cli::{self, About};
+use lupinledge_gossip::cli::{self, About, SubCommand};
 use lupinledge_gossip::{log, settings};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -29,10 +31,31 @@
 /// this and the calls' end.
 const STRUCK: Duration = Duration::from_secs(3);
 
+const COMMANDS: [SubCommand; 3] = [
+    SubCommand {
+        name: "nodes",
+        arguments: "ADDRESS",
+        what: "lists all nodes with the rules they go by",
+        run: nodes::ask,
+    },
+    SubCommand {
+        name: "core",
+        arguments: "ADDRESS...",
+        what: "lists what each of these members of the core holds",
+        run: founding::show,
+    },
+    SubCommand {
+        name: "found",
+        arguments: "EPOCH.INDEX ADDRESS [ADDRESS...]",
+        what: "founds the core anew from that state at the first of these, after losses beyond what is borne",
+        run: founding::found,
+    },
+];
+
 fn main() -> ExitCode {
     let (name, version) = ("lupinledge-hive", env!("CARGO_PKG_VERSION"));
     let what = "the control plane of lupinledge, on the machines of the core";
-    cli::main(About { name, version, what, nodes: Some(nodes::ask) }, run)
+    cli::main(About { name, version, what, commands: &COMMANDS }, run)
 }
 
 fn run() -> eyre::Result<()> {
--- a/hive/src/nodes.rs
+++ b/hive/src/nodes.rs
@@ -1,14 +1,13 @@
 //! What operators are told of the processes and of the rules they have in force.
 
-use eyre::{eyre, WrapErr};
+use crate::operator::{self, cell};
+use eyre::bail;
 use lupinledge_propolis::{comparable, Part, Print};
 use lupinledge_sentry::verdict::Judge;
 use lupinledge_waggle::{Digest, Member, Standing};
 use serde_json::{json, Map, Value};
 use std::fmt::Write as _;
-use std::io::{Read, Write as _};
-use std::net::{Ipv4Addr, SocketAddr, TcpStream};
-use std::time::Duration;
+use std::net::Ipv4Addr;
 
 /// Prints by their parts' names.
 pub fn parts(print: &[u64; 5]) -> Value {
@@ -53,26 +52,13 @@
 }
 
 /// Asks a process of the core at its control address, and puts the answer in a table.
-pub fn ask(at: &str) -> eyre::Result<String> {
-    let (addr, wait) = (at.parse::<SocketAddr>().wrap_err("ADDRESS")?, Duration::from_secs(5));
-    let mut to = TcpStream::connect_timeout(&addr, wait).wrap_err_with(|| at.to_string())?;
-    to.set_read_timeout(Some(wait))?;
-    let head = format!("GET /lupinledge/nodes HTTP/1.1\r\nHost: {at}\r\nConnection: close\r\n\r\n");
-    to.write_all(head.as_bytes())?;
-    let mut text = String::new();
-    to.take(16 << 20).read_to_string(&mut text)?;
-    let body = text.split_once("\r\n\r\n").map(|b| b.1).ok_or_else(|| eyre!("{at}: no answer"))?;
-    let told: Value = serde_json::from_str(body).wrap_err("answer")?;
-    Ok(table(&told))
+pub fn ask(arguments: &[String]) -> eyre::Result<String> {
+    let [at] = arguments else { bail!("nodes: one ADDRESS is needed") };
+    Ok(table(&operator::ask(at, "/lupinledge/nodes")?))
 }
 
 /// As operators read it.
 pub fn table(told: &Value) -> String {
-    let text = |v: &Value| match v {
-        Value::String(s) => s.clone(),
-        Value::Null => String::new(),
-        other => other.to_string(),
-    };
     let mut out = format!("index {}", told["index"]);
     match &told["holder"] {
         Value::String(holder) => out += &format!("  holder {holder}"),
@@ -80,25 +66,19 @@
         _ => out += "  holder none in touch",
     }
     for (part, print) in told["parts"].as_object().into_iter().flatten() {
-        let _ = write!(out, "  {part} {}", text(print));
+        let _ = write!(out, "  {part} {}", cell(print));
     }
     let names = ["node", "role", "zone", "standing", "ready", "index", "print", "rules"];
     let head = names.into_iter().chain(["since", "times", "judge", "part", "differing"]).map(str::to_string);
     let mut rows = vec![head.collect::<Vec<String>>()];
     for n in told["nodes"].as_array().into_iter().flatten() {
         let o = &n["out"];
-        let parts = o["differing"].as_array().into_iter().flatten().map(text).collect::<Vec<_>>().join(",");
-        let row = names.iter().map(|f| text(&n[*f]));
-        let row = row.chain(["since", "times", "judge", "part"].map(|f| text(&o[f]))).chain([parts]);
+        let parts = o["differing"].as_array().into_iter().flatten().map(cell).collect::<Vec<_>>().join(",");
+        let row = names.iter().map(|f| cell(&n[*f]));
+        let row = row.chain(["since", "times", "judge", "part"].map(|f| cell(&o[f]))).chain([parts]);
         rows.push(row.collect());
     }
-    let width = |i: usize| rows.iter().map(|r| r[i].len()).max().unwrap_or(0);
-    let widths: Vec<usize> = (0..rows[0].len()).map(width).collect();
-    for r in &rows {
-        let line = r.iter().zip(&widths).map(|(c, w)| format!("{c:<w$}")).collect::<Vec<_>>().join("  ");
-        let _ = write!(out, "\n{}", line.trim_end());
-    }
-    out + "\n"
+    out + "\n" + &operator::table(&rows) + "\n"
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/hive/src/operator.rs
@@ -0,0 +1,54 @@
+//! What operators ask members of the core for by the command line, beside configurations.
+
+use eyre::{ensure, eyre, WrapErr};
+use serde_json::Value;
+use std::io::{Read, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const WAIT: Duration = Duration::from_secs(5);
+const ANSWER_MOST: u64 = 16 << 20;
+
+/// Calls a control address; the answer's status and body.
+pub fn call(at: &str, method: &str, path: &str) -> eyre::Result<(u16, String)> {
+    let addr = at.parse::<SocketAddr>().wrap_err("ADDRESS")?;
+    let mut to = TcpStream::connect_timeout(&addr, WAIT).wrap_err_with(|| at.to_string())?;
+    to.set_read_timeout(Some(WAIT))?;
+    let head =
+        format!("{method} {path} HTTP/1.1\r\nHost: {at}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    to.write_all(head.as_bytes())?;
+    let mut text = String::new();
+    to.take(ANSWER_MOST).read_to_string(&mut text)?;
+    let (head, body) = text.split_once("\r\n\r\n").ok_or_else(|| eyre!("{at}: no answer"))?;
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    Ok((status.ok_or_else(|| eyre!("{at}: no status"))?, body.to_string()))
+}
+
+/// The same, for an answer that is an object.
+pub fn ask(at: &str, path: &str) -> eyre::Result<Value> {
+    let (status, body) = call(at, "GET", path)?;
+    ensure!(status == 200, "{at}: {status} {body}");
+    serde_json::from_str(&body).wrap_err("answer")
+}
+
+/// Rows as columns of equal width.
+pub fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |i: usize| rows.iter().filter_map(|row| row.get(i)).map(String::len).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..columns).map(width).collect();
+    let line = |row: &Vec<String>| {
+        let cells = row.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
+        cells.collect::<Vec<_>>().join("  ").trim_end().to_string()
+    };
+    rows.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+/// A value as it stands in a table.
+pub fn cell(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => String::new(),
+        Value::Array(all) => all.iter().map(cell).collect::<Vec<_>>().join(","),
+        other => other.to_string(),
+    }
+}
--- a/queen/src/acceptor.rs
+++ b/queen/src/acceptor.rs
@@ -37,15 +37,8 @@
         out.push(Out::Send(from, answer));
     }
 
-    pub(crate) fn on_prepare(
-        &mut self,
-        from: Node,
-        epoch: u64,
-        have: Ballot,
-        cluster: u64,
-        out: &mut Vec<Out>,
-    ) {
-        if self.learner.is_some() || epoch as Node != from || self.of_another(cluster) {
+    pub(crate) fn on_prepare(&mut self, from: Node, epoch: u64, have: Ballot, out: &mut Vec<Out>) {
+        if self.learner.is_some() || epoch as Node != from {
             return;
         }
         self.floor = self.floor.max(epoch);
@@ -76,7 +69,7 @@
         incarnation: u64,
         out: &mut Vec<Out>,
     ) {
-        if self.learner.is_some() || ballot.epoch as Node != from || self.of_another(value.cluster) {
+        if self.learner.is_some() || ballot.epoch as Node != from {
             return;
         }
         let promised = self.disk.mem.promised;
@@ -179,9 +172,6 @@
     }
 
     pub(crate) fn on_news(&mut self, ballot: Ballot, value: Rc<Value>, out: &mut Vec<Out>) {
-        if self.of_another(value.cluster) {
-            return;
-        }
         self.floor = self.floor.max(ballot.epoch);
         let mem = &self.disk.mem;
         if self.learner.is_none() && ballot > mem.ballot && ballot.epoch >= mem.promised {
--- a/queen/src/election.rs
+++ b/queen/src/election.rs
@@ -108,6 +108,7 @@
     pub(crate) fn asking_tick(&mut self, out: &mut Vec<Out>) {
         // also who doesn't count as far as this one knows: it may have been cut off while the members changed
         let others = self.known();
+        let cluster = self.newest().cluster;
         let Role::Asking(asking) = &mut self.role else { return };
         if self.now >= asking.since + ASK {
             self.role = Role::Follower;
@@ -117,7 +118,7 @@
             asking.next_send = self.now + RESEND;
             for node in others {
                 if !asking.oks.contains(&node) {
-                    out.push(Out::Send(node, Msg::Ask { n: asking.n }));
+                    out.push(Out::Send(node, Msg::Ask { n: asking.n, cluster }));
                 }
             }
         }
--- a/queen/src/holder.rs
+++ b/queen/src/holder.rs
@@ -1,6 +1,6 @@
 //! The holder of an epoch: heartbeats, proposals, read barriers.
 
-use crate::types::next_cluster;
+use crate::cluster;
 use crate::{dice, Ballot, Msg, Node, Out, Outcome, Queen, Role, Tally, Value, FRESH, ROUTE};
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -167,7 +167,7 @@
     /// Puts the next value on its way; none may be on its way.
     pub(crate) fn launch_next(&mut self, ticket: Option<u64>, mut value: Value, out: &mut Vec<Out>) {
         let Role::Holding(holding) = &self.role else { return };
-        value.cluster = next_cluster(value.cluster, dice(&mut self.random));
+        value.cluster = cluster::next(value.cluster, dice(&mut self.random));
         let ballot = Ballot { epoch: holding.epoch, index: self.disk.mem.ballot.index.saturating_add(1) };
         self.launch(ticket, ballot, Rc::new(value), out);
     }
--- a/queen/src/learn.rs
+++ b/queen/src/learn.rs
@@ -3,7 +3,7 @@
 //! It takes a new incarnation first, which those it asks keep on disk and tell with each of their votes. So a vote of
 //! the incarnation before is counted only where none of them voted after its answer, and their answers tell the rest.
 
-use crate::types::clusters_differ;
+use crate::cluster::{relation, Relation};
 use crate::{dice, Ballot, Kept, Msg, Node, Out, Queen, Value};
 use std::rc::Rc;
 
@@ -176,10 +176,12 @@
             return;
         }
         // what was learnt of one cluster and what of another don't make a whole
-        let own = learner.best.1.cluster;
-        let other = |value: &Rc<Value>| clusters_differ(own, value.cluster);
+        match value.as_ref().map_or(Relation::Same, |v| relation(learner.best.1.cluster, v.cluster)) {
+            Relation::Same => {}
+            Relation::Newer => learner.answered.clear(),
+            Relation::Older | Relation::Other => return,
+        }
         match value {
-            Some(value) if other(&value) => return,
             Some(value) if learner.answered.is_empty() || ballot > learner.best.0 => {
                 (learner.best, learner.proposer) = ((ballot, value), proposer);
             }
--- a/queen/src/lib.rs
+++ b/queen/src/lib.rs
@@ -6,8 +6,10 @@
 //! was lost learns from a majority of others before it votes, under a new incarnation that ends its older votes.
 
 mod acceptor;
+mod cluster;
 mod disk;
 mod election;
+mod founding;
 mod holder;
 mod learn;
 mod leave;
@@ -17,6 +19,7 @@
 
 use disk::Disk;
 use election::{Asking, Preparing};
+pub use founding::{NotFounded, Standing, SILENCE};
 use holder::Holding;
 use learn::Learner;
 use resume::Resuming;
@@ -60,6 +63,10 @@
     floor: u64,
     /// Highest epoch that its holder gave up.
     over: u64,
+    /// When this process began.
+    started: f64,
+    /// Whose last word was that they learn.
+    learning: Vec<Node>,
     /// Last word of each member and joiner.
     heard: BTreeMap<Node, f64>,
     seen: Option<Seen>,
@@ -121,6 +128,8 @@
             over: 0,
             disk,
             committed: None,
+            started: now,
+            learning: Vec::new(),
             heard: BTreeMap::new(),
             seen: None,
             // a holder that is alive is heard within two heartbeats; nobody else is to be waited for
@@ -186,18 +195,22 @@
         if self.heard.contains_key(&from) || self.heard.len() < 4 * MEMBERS_MOST {
             self.heard.insert(from, self.now);
         }
+        self.note_learner(from, &msg);
         self.back_if_late(from, &msg);
+        if self.drops(from, &msg, out) {
+            return self.disk.flush(self.now, out);
+        }
         if self.resuming.is_some() && waits_for_resume(&msg) {
             return;
         }
         match msg {
             Msg::Alive => {}
-            Msg::Ask { n } => self.on_ask(from, n, out),
+            Msg::Ask { n, .. } => self.on_ask(from, n, out),
             Msg::AskOk { n, promised } => self.on_ask_ok(from, n, promised, out),
             Msg::AskNo { promised, holder, commit, .. } => {
                 self.on_ask_no(from, promised, holder, commit, out)
             }
-            Msg::Prepare { epoch, have, cluster } => self.on_prepare(from, epoch, have, cluster, out),
+            Msg::Prepare { epoch, have, .. } => self.on_prepare(from, epoch, have, out),
             Msg::Promise { epoch, ballot, value, incarnation, incarnations } => {
                 self.on_promise(from, epoch, ballot, value, (incarnation, incarnations), out);
             }
@@ -211,7 +224,6 @@
                 self.told_commit(from, commit, out);
                 self.on_refused(epoch, promised, out);
             }
-            Msg::Heartbeat { cluster, .. } if self.of_another(cluster) => {}
             Msg::Heartbeat { epoch, commit, nonce, .. } => self.on_heartbeat(from, epoch, commit, nonce, out),
             Msg::HeartbeatOk { epoch, nonce } => self.on_heartbeat_ok(from, epoch, nonce, out),
             Msg::Quit { epoch, next } => self.on_quit(from, epoch, next),
@@ -228,8 +240,9 @@
             Msg::Resume { nonce, have, cluster } => self.on_resume(from, nonce, have, cluster, out),
             Msg::Resumed { nonce, promised, ballot, value, incarnations, forgotten } => {
                 let held = Kept { promised, ballot, incarnations, ..Kept::default() };
-                self.on_resumed(from, nonce, held, value, forgotten);
+                self.on_resumed(from, nonce, held, value, forgotten, out);
             }
+            Msg::Superseded { .. } => {}
             Msg::Join => self.on_join(from, out),
             Msg::Leave => self.on_leave(from, out),
         }
@@ -317,7 +330,18 @@
 
     /// Is that the number of another cluster than this node's?
     fn of_another(&self, cluster: u64) -> bool {
-        types::clusters_differ(self.newest().cluster, cluster)
+        cluster::relation(self.newest().cluster, cluster) != cluster::Relation::Same
+    }
+
+    /// Notes whether the node has a state, by what it says.
+    fn note_learner(&mut self, node: Node, msg: &Msg) {
+        match msg {
+            // said by both, to a heartbeat
+            Msg::Alive => {}
+            Msg::Learn { .. } if self.learning.contains(&node) || self.learning.len() == MEMBERS_MOST => {}
+            Msg::Learn { .. } => self.learning.push(node),
+            _ => self.learning.retain(|&known| known != node),
+        }
     }
 
     /// The newest value met: of the disk, or told to be committed.
--- a/queen/src/resume.rs
+++ b/queen/src/resume.rs
@@ -85,6 +85,7 @@
         held: Kept,
         value: Option<Rc<Value>>,
         forgotten: bool,
+        out: &mut Vec<Out>,
     ) {
         let other = value.as_ref().is_some_and(|value| self.of_another(value.cluster));
         let Some(resuming) = self.resuming.as_mut().filter(|resuming| resuming.nonce == nonce) else {
@@ -96,7 +97,7 @@
             }
             let strangers = resuming.strangers.clone();
             if self.disk.mem.value.carried(|m| strangers.contains(&m)) {
-                self.forget(self.disk.mem.incarnation);
+                self.forget(self.disk.mem.incarnation, out);
             }
             return;
         }
@@ -105,7 +106,7 @@
         }
         let own = held.incarnations.iter().find(|kept| kept.0 == self.me).map_or(0, |kept| kept.1);
         if forgotten || own > self.disk.mem.incarnation {
-            return self.forget(own.max(self.disk.mem.incarnation));
+            return self.forget(own.max(self.disk.mem.incarnation), out);
         }
         self.adopt(held, value);
         self.end_resume_if_known();
@@ -152,7 +153,8 @@
     }
 
     /// The state is not the newest that this node had: it learns anew, after that incarnation.
-    fn forget(&mut self, incarnation: u64) {
+    pub(crate) fn forget(&mut self, incarnation: u64, out: &mut Vec<Out>) {
+        self.lose(out);
         self.hints = self.newest().others(self.me);
         self.learner = Some(Learner::after(self.now, dice(&mut self.random), incarnation));
         self.resuming = None;
--- a/queen/src/types.rs
+++ b/queen/src/types.rs
@@ -28,29 +28,11 @@
     pub outgoing: Vec<Node>,
     #[serde(with = "serde_bytes")]
     pub body: Vec<u8>,
-    /// Which cluster this is of, see [`next_cluster`]; 0 before its first change.
+    /// Which cluster this is of, see the module `cluster`; 0 before its first change.
     #[serde(default)]
     pub cluster: u64,
 }
 
-/// A number of a cluster counts once the value that it was drawn with is known to be committed: two first changes may be
-/// on their way, of which one is dropped. It is odd until then.
-const DRAWN: u64 = 1;
-
-/// The number that the value after one with this number bears; that one is committed.
-pub(crate) fn next_cluster(cluster: u64, draw: u64) -> u64 {
-    match cluster {
-        0 => draw | 2 | DRAWN,
-        cluster => cluster & !DRAWN,
-    }
-}
-
-/// Are these numbers of two clusters?
-pub(crate) fn clusters_differ(a: u64, b: u64) -> bool {
-    let counts = |cluster: u64| cluster != 0 && cluster & DRAWN == 0;
-    counts(a) && counts(b) && a != b
-}
-
 /// State of a member that must outlive power loss. The driver writes it whole and atomically.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kept {
@@ -94,6 +76,7 @@
     /// Would you promise me an epoch? Binds nobody.
     Ask {
         n: u64,
+        cluster: u64,
     },
     AskOk {
         n: u64,
@@ -198,6 +181,10 @@
         /// The asking node voted for more than it holds now.
         forgotten: bool,
     },
+    /// Your cluster was founded anew, as this one: what you hold counts no more.
+    Superseded {
+        cluster: u64,
+    },
     /// Admit me.
     Join,
     /// I am told to end: strike me, if the others are enough.
--- a/queen/tests/faults/cases.rs
+++ b/queen/tests/faults/cases.rs
@@ -38,7 +38,7 @@
         })
     }
 
-    fn members(&self, node: Node) -> Vec<Node> {
+    pub fn members(&self, node: Node) -> Vec<Node> {
         self.process(node).map_or(Vec::new(), |member| member.queen.members().to_vec())
     }
 
--- a/queen/tests/faults/main.rs
+++ b/queen/tests/faults/main.rs
@@ -8,6 +8,7 @@
 mod check;
 mod copies;
 mod days;
+mod founding;
 mod leaving;
 mod losses;
 mod steps;
--- a/queen/tests/faults/steps.rs
+++ b/queen/tests/faults/steps.rs
@@ -75,7 +75,7 @@
     fn stand(&mut self, others: &[Node]) -> Vec<(Node, Msg)> {
         let asked = self.wait(1.0);
         let ask = asked.iter().rev().find_map(|(_, msg)| match msg {
-            Msg::Ask { n } => Some(*n),
+            Msg::Ask { n, .. } => Some(*n),
             _ => None,
         });
         let n = ask.expect("it stands");
@@ -240,7 +240,7 @@
         one.heard(20, Msg::Accept { ballot: ballot(epoch(1, 20), 1), value: value.clone(), incarnation: 0 }),
         []
     );
-    assert_eq!(one.heard(20, Msg::Ask { n: 1 }), []);
+    assert_eq!(one.heard(20, Msg::Ask { n: 1, cluster: 0 }), []);
     let beat = Msg::Heartbeat { epoch: epoch(1, 20), commit: Ballot::default(), nonce: 1, cluster: 0 };
     assert_eq!(one.heard(20, beat), [(20, Msg::Alive)]);
     let learnt = |promised, ballot| {
--- a/queen/tests/faults/world.rs
+++ b/queen/tests/faults/world.rs
@@ -2,7 +2,7 @@
 
 use crate::check::Check;
 use lupinledge_apiary::{Begin, Life, Net, Order, Watch, World as Machines};
-use lupinledge_queen::{Ballot, Kept, Msg, Node, Out, Outcome, Queen, Settings, Value};
+use lupinledge_queen::{Ballot, Kept, Msg, Node, NotFounded, Out, Outcome, Queen, Settings, Value};
 use std::collections::BTreeMap;
 use std::ops::{Deref, DerefMut};
 use std::rc::Rc;
@@ -177,6 +177,16 @@
         });
     }
 
+    /// An operator founds the cluster anew from that member.
+    pub fn found_anew(&mut self, node: Node, newest: Ballot) -> Result<(), NotFounded> {
+        let mut founded = Ok(());
+        self.call(node, |member, now, orders| {
+            founded = member.queen.found_anew(now, newest);
+            member.turn(now, orders, |queen, out| queen.tick(now, out));
+        });
+        founded
+    }
+
     /// Others are told of from elsewhere.
     pub fn hint(&mut self, node: Node, others: &[Node]) {
         self.call(node, |member, _, _| member.queen.hint(others));
--- a/queen/tests/large.rs
+++ b/queen/tests/large.rs
@@ -34,7 +34,7 @@
             };
             let (ballot, incarnation, incarnations) = (Ballot::default(), 0, Vec::new());
             let answer = match msg {
-                Msg::Ask { n } => Msg::AskOk { n, promised: 0 },
+                Msg::Ask { n, .. } => Msg::AskOk { n, promised: 0 },
                 Msg::Prepare { epoch, .. } => {
                     Msg::Promise { epoch, ballot, value: None, incarnation, incarnations }
                 }
