--- a/queen/tests/faults/changes.rs
+++ b/queen/tests/faults/changes.rs
@@ -25,11 +25,11 @@
     }
     let holder = world.leader();
     let others: Vec<Node> = world.seeds.iter().copied().filter(|&node| node != holder).collect();
-    let (gone, other) = if seed % 2 == 0 { (others[0], others[1]) } else { (others[1], others[0]) };
+    let (gone, other) = if seed.is_multiple_of(2) { (others[0], others[1]) } else { (others[1], others[0]) };
     world.run(0.5);
     world.kill(gone);
     world.machines.remove(&gone);
-    let new = NEW - if seed % 5 == 0 { 35 } else { 0 };
+    let new = NEW - if seed.is_multiple_of(5) { 35 } else { 0 };
     world.start(new);
     if apart {
         // until the holder is told by nobody else that it holds, about a second later
--- a/queen/tests/faults/founding.rs
+++ b/queen/tests/faults/founding.rs
@@ -12,7 +12,9 @@
 /// One member whose two others are down, after something was acknowledged.
 fn alone(seed: u64) -> (World, Node, Vec<Node>) {
     let mut world = World::new(seed, &THREE);
-    (0..3).for_each(|_| drop(world.acknowledge()));
+    for _ in 0..3 {
+        world.acknowledge();
+    }
     world.run(0.5);
     let one = THREE[seed as usize % 3];
     let others: Vec<Node> = THREE.into_iter().filter(|&node| node != one).collect();
