Behind a silence of the counters a gateway has its own part of the store left

Cause: after a silence a gateway read the store as refilled by all the time that had passed, though others had used their parts of it meanwhile, or were using them still, told to nobody; and the parts add up to more than one, as silences begin at other times for each, which has seen the others rest. Each silence so granted up to a store once more.

Change (decision module): a total that ends a silence (a call unanswered, and 0.5 s since the last total) leaves at most the own part of the own reckoning; in a silence the part is 0.85 of what it was; a standstill of 1.5 s counts as one.

--- a/src/control.rs
+++ b/src/control.rs
@@ -26,6 +26,8 @@
     pub fn round(&mut self, now: Point, events: Vec<Event>, acts: &mut Vec<Action>) {
         blend(&mut self.used, self.out as f64, 1.0 - (-0.5 * now.since(self.now)).exp());
         (self.gap, self.now) = (now - self.now, now);
+        let stood = self.gap > Span::millis(1500); // rounds come each second
+        self.customers.iter_mut().for_each(|c| c.quota.missed |= stood);
         self.began = if self.began == Point::default() { now } else { self.began };
         for e in events {
             match e {
--- a/src/count.rs
+++ b/src/count.rs
@@ -11,9 +11,8 @@
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
         blend(&mut self.slow, self.now.since(call.sent), if answered { 0.1 } else { 0.0 });
-        // A crowded counter gets fewer calls; an unanswered one weighs as much as 50 answered (25: no better)
-        // and a fresh gateway's first ones most: of hundreds none makes many before the jam. What one stall
-        // held up is one sign; a spoilt answer is none, nor silence: of so many in a row a crowd answers some
+        // A crowded counter gets fewer calls; one unanswered weighs as much as 50 answered, a fresh gateway's
+        // first ones most. What one stall held up is one sign; a spoilt answer is none, nor is silence
         self.answers += 1.0;
         let heard = answered || how == Outcome::Reset;
         let sign = !heard && self.misses < 6 && self.now.since(self.missed) > self.terms.count_wait.secs();
@@ -53,14 +52,16 @@
     /// Reads the store out of a total; returns by how much it is overdrawn. What a full store lost of its
     /// fill is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
     fn quota_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
-        let own = self.room(call.customer);
+        let (own, part) = (self.room(call.customer), self.share(call.customer));
         // what a far counter has not told yet: others send meanwhile as this gateway does, by its share
         let unseen = if self.slow > 0.02 { 1.0 / self.share(call.customer) - 1.0 } else { 0.0 };
         let cust = &mut self.customers[call.customer];
+        let silence = cust.in_silence(self.now);
         let (p, q) = (&self.terms.plans[cust.plan], &mut cust.quota);
         let own = own + q.flying + q.owed;
         q.flying -= call.amount;
         q.owed += if added { 0.0 } else { call.amount };
+        q.missed = !answered;
         if !answered || call.epoch < q.epoch {
             return (-cust.level).max(0.0);
         }
@@ -79,8 +80,10 @@
         let even = if first { 1.0 } else { (-since * p.rate / p.burst.max(1e-3)).exp() };
         let least = if first { least.max(0.0).min(most) } else { least };
         cust.level = most + (least - most) * even * p.overrun_cost / (1.0 + p.overrun_cost);
-        // an empty counter knows nothing of what went out while none answered: the own reckoning goes on
-        cust.level = cust.level.min(if fell { own - call.amount } else { f64::MAX });
+        // an empty counter knows nothing of what went out while none answered: the own reckoning goes on.
+        // Behind a silence others may have used their parts, or use them still, unseen: the own one is left
+        let known = (own - call.amount) * if silence && own > call.amount { part } else { 1.0 };
+        cust.level = cust.level.min(if fell || silence { known } else { f64::MAX });
         (cust.level_at, cust.run_at) = (self.now, self.now);
         cust.run = cust.level - q.flying * (1.0 + unseen) - q.owed;
         let keep = (-since / SHARE_MEMORY).exp();
@@ -153,7 +156,7 @@
             if !self.terms.counter || self.now < self.trial_at {
                 return;
             }
-            // a trial each 200 ms, a hundred a second over all gateways: more would keep a counter down
+            // a hundred trials a second over all gateways: more would keep a counter down
             self.trial_at = self.now.later((self.terms.gateways as f64 / 100.0).max(0.2));
         }
         let p = &self.terms.plans[cust.plan];
--- a/src/flight.rs
+++ b/src/flight.rs
@@ -70,8 +70,7 @@
             true if !waits => return self.end(slot),
             _ => {} // its end wakes it; one more wake for now would come in this round, without end
         }
-        // where no second copy may be out beside it, a dispatch at a convicted srv is called back to free the
-        // req. A time-out of any overdue one would only do the same work twice where all is slow (ageing)
+        // where no second copy may be out beside it, a dispatch at a convicted srv is called back
         if running == 1 && !self.terms.may_duplicate && self.now < give_up {
             let (effect, distrust) = (self.terms.frontends[f].effect, &self.srvs.distrust);
             let convicted = |t: &&mut Try| distrust[t.srv] > 0.5 && effect != Effect::NonReplayable;
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -19,10 +19,8 @@
         let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
         self.customers[c].follow(n.plan, n.spread.max(1.0), p.burst);
         // A repeat counts from its first try. First tries come with the same time left: where repeats are
-        // marked, the most that one without a mark had, else what most come with. What has less was cut by
-        // the client timeout, what has more is a last try, which has all that is left: both tell when the
-        // first one was. Unmarked, only of customers that also come with the usual time: some clients have
-        // short time-outs of their own. Wrong where most reqs are unmarked repeats
+        // marked, the most that one without a mark had, else what most come with. Less was cut by the client
+        // timeout, more is a last try. Unmarked, only of customers that also come with the usual time
         let (first, votes) = &mut self.first_left[frontend];
         let usual = |first: Span| (first.secs() - n.left.secs()).abs() < 0.01 * f.timeout.secs();
         if self.terms.marks_repeats {
@@ -49,7 +47,6 @@
         let slot = self.reqs.put(n.id, r);
         self.wakes.push(ends, slot, n.id);
         let (rated, cap) = (p.rate > 0.0, p.at_once as f64);
-        // behind more waiters than are answered while it can wait, it would only be denied later
         let answers: f64 = self.srvs.passed.iter().sum::<f64>() / 4.0;
         let patience = self.patience(frontend, n.plan);
         // what is cheap beside others has no place in the line for free: at many gateways each is short
@@ -122,7 +119,8 @@
     pub(crate) fn share(&self, c: usize) -> f64 {
         let cust = &self.customers[c];
         let prior = 0.5 * self.terms.plans[cust.plan].burst.max(1.0);
-        ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
+        let alone = if cust.in_silence(self.now) { 0.85 } else { 1.0 }; // each has seen others rest
+        alone * ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
     }
 
     /// Without an answer: under the cap with what the others had lately. One each would pass it many times.
--- a/src/line.rs
+++ b/src/line.rs
@@ -8,8 +8,7 @@
         r.stage = Stage::Waiting;
         let (c, target, f, id, zones) = (r.customer, r.target, r.frontend, r.id, r.zones);
         self.wakes.push(target - Span::from_secs(self.typical(f)), slot, id);
-        // newest first: where a customer waits, its older reqs are likelier late; what only some srvs may
-        // have waits in a lane of its own
+        // newest first: older reqs are likelier late; what only some srvs may have has a lane of its own
         self.line.join(2 * c + (zones != u64::MAX) as usize, slot);
     }
 
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -144,6 +144,8 @@
     /// Reqs that wait for the next total: slot, id, units.
     pub joins: Vec<(usize, u64, f64)>,
     pub urgent: bool,
+    /// A call since the last total was not answered.
+    pub missed: bool,
 }
 
 impl Account {
@@ -223,6 +225,10 @@
             && (p.ceiling_rate <= 0.0 || slice > depth - 1e-6);
         idle && full && self.quota.joins.is_empty() && self.lease.joins.is_empty()
     }
+    /// Whether no total has come for a while though one was asked for: one lost answer is no silence.
+    pub fn in_silence(&self, now: Point) -> bool {
+        self.quota.missed && now.since(self.level_at) > 0.5
+    }
     /// Dispatches more out or held here, and leases that the counter is to know of.
     pub fn hold(&mut self, more: f64, leased: f64) {
         (self.held, self.leased) = (self.held + more, self.leased + leased);
