--- a/tests/silences.rs
+++ b/tests/silences.rs
@@ -251,8 +251,7 @@
         if now >= holder.look_at {
             holder.look(now, &mut gateways);
         }
-        for nth in 0..count {
-            let gateway = &mut gateways[nth];
+        for (nth, gateway) in gateways.iter_mut().enumerate() {
             if now >= gateway.link.1 {
                 let sound = gateway.link.0 != Link::Sound;
                 let silence = if rng.bool() { Link::Late } else { Link::Cut };
