Pages of the platform, starts of gateways and what a new holder is told can't be mixed up

The platform's answers bear no id: a late copy of a page was read as the next one, and a part of the list taken for the whole. The counters told two starts of a gateway apart by 16 bits. A new holder took 4,096 names of a gateway, the rest of its sums was lost for the totals.

Each reading of the list has a connection of its own, opened ahead while the last one is waited out, and a page that names the token it was asked with is a fault (Repeated). The number of a start is 32 random bits: the same as another's by one in 2^32 (was 65,536). Gateways tell a new holder in parts of about 512 names, cut by customer, so that a name is in the same part each time; a gateway counts as told with its last part, and a part told again adds nothing.

--- a/apiary/src/counts.rs
+++ b/apiary/src/counts.rs
@@ -6,7 +6,7 @@
 use crate::world::Order;
 use crate::Flaw;
 use lupinledge_nectar::duty::{Answer, Look, Seen};
-use lupinledge_nectar::told::Told as Sum;
+use lupinledge_nectar::told::{Part, Told as Sum};
 use lupinledge_nectar::Incarnation;
 use lupinledge_waggle::{Member, Standing};
 
@@ -63,7 +63,7 @@
             out.push(Order::Tell(Told::Gathered { epoch, from, told: *sum, before }));
         }
         if self.flaw != Flaw::CountsDeaf {
-            self.duty.tell(now, epoch, from, told);
+            self.duty.tell(now, epoch, from, &Part::whole(told.to_vec()));
         }
     }
 
--- a/apiary/src/edge.rs
+++ b/apiary/src/edge.rs
@@ -40,7 +40,7 @@
     /// When it took a document last.
     took: f64,
     old: patched::Old,
-    pub(crate) incarnation: u16,
+    pub(crate) incarnation: u32,
     own: Own,
     holder: (u64, Node),
     /// Whom to ask for the clock, when next, and whether it is known.
@@ -65,7 +65,7 @@
             flaw,
             took: f64::NEG_INFINITY,
             old: patched::Old::new(),
-            incarnation: run as u16,
+            incarnation: run as u32,
             own: Own::default(),
             holder: (0, 0),
             seeds: seeds.to_vec(),
--- a/apiary/src/process.rs
+++ b/apiary/src/process.rs
@@ -47,7 +47,7 @@
     /// To the holder: sums of what this gateway added.
     Count {
         tag: u64,
-        incarnation: u16,
+        incarnation: u32,
         calls: Vec<(u64, f64)>,
     },
     /// The totals; none: this process is not the holder.
@@ -63,7 +63,7 @@
     /// To a new holder, ahead of the first count; which epoch it is for.
     Told {
         epoch: u64,
-        incarnation: u16,
+        incarnation: u32,
         told: Vec<Sum>,
     },
     /// What does your clock show? And the holder's answer.
--- a/forager/src/ledger.rs
+++ b/forager/src/ledger.rs
@@ -9,6 +9,7 @@
 use lupinledge_messaging::{epoch, parts, units, Node, Post, Word};
 use lupinledge_nectar::calls::Calls;
 use lupinledge_nectar::own::Own;
+use lupinledge_nectar::told::Part;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -31,7 +32,7 @@
 /// All calls of this process.
 pub struct Ledger {
     post: Rc<Post>,
-    incarnation: u16,
+    incarnation: u32,
     began: Instant,
     holder: Cell<(u64, Node)>,
     own: RefCell<Own>,
@@ -41,7 +42,7 @@
 
 impl Ledger {
     /// With no holder known yet: calls fail at once. Another start of the process has another `incarnation`.
-    pub fn start(post: Rc<Post>, incarnation: u16) -> Rc<Ledger> {
+    pub fn start(post: Rc<Post>, incarnation: u32) -> Rc<Ledger> {
         let ledger = Rc::new(Ledger {
             post,
             incarnation,
@@ -73,10 +74,11 @@
     }
 
     fn tell(&self) {
-        let told = self.own.borrow().told(self.now());
-        let told = told.into_iter().map(|t| (t.name, t.sum, t.within, t.total, t.life as f32)).collect();
-        let (epoch, holder) = self.holder.get();
-        self.post.send(holder, &Word::Told { incarnation: self.incarnation, told, epoch });
+        let (incarnation, (epoch, holder)) = (self.incarnation, self.holder.get());
+        for Part { nth, of, told } in Part::cut(self.own.borrow().told(self.now())) {
+            let told = told.into_iter().map(|t| (t.name, t.sum, t.within, t.total, t.life as f32)).collect();
+            self.post.send(holder, &Word::Told { incarnation, told, epoch, part: (nth, of) });
+        }
     }
 
     fn now(&self) -> f64 {
--- a/forager/src/start.rs
+++ b/forager/src/start.rs
@@ -15,6 +15,7 @@
 use lupinledge_propolis::Settings;
 use lupinledge_waggle::Card;
 use std::cell::Cell;
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -33,6 +34,12 @@
 const STAY: f64 = 0.55;
 const END: f64 = 0.92;
 
+/// A number by which the counters tell this start of the process from others: drawn from what the machine has for
+/// random, and the same as another start's by a chance of one in 2^32.
+fn start_number() -> u32 {
+    RandomState::new().hash_one(SystemTime::now()) as u32
+}
+
 pub fn run() -> eyre::Result<()> {
     log::start();
     let path = settings::path()?;
@@ -95,7 +102,7 @@
         load: 0,
     };
     let gossip = Gossip::open(&told, card, true).wrap_err("`port_range`")?;
-    let ledger = Ledger::start(gossip.post().clone(), (seed / 1000) as u16 ^ (seed >> 32) as u16);
+    let ledger = Ledger::start(gossip.post().clone(), start_number());
     let nest = Nest::new(told.clone(), gossip.clone(), ledger.clone());
     let metrics = Metrics::new(nest.clone());
     let ready_answers = Rc::new(Ready { flag: ready.clone(), metrics: metrics.clone() });
--- a/hive/src/brood.rs
+++ b/hive/src/brood.rs
@@ -118,7 +118,8 @@
                 }
             };
             let wait = Duration::from_secs_f64(wait);
-            if timeout(wait, self.again.notified()).await.is_ok() {
+            let (hurried, ()) = tokio::join!(timeout(wait, self.again.notified()), platform.renew());
+            if hurried.is_ok() {
                 sleep(BUSY.max(Duration::from_secs_f64(each_page))).await;
             }
         }
@@ -136,8 +137,9 @@
                 }
             }
             match page.next {
-                Some(next) if token.as_ref() != Some(&next) => token = Some(next),
-                _ => return Ok((rows.into_values().collect(), pages)),
+                Some(next) if token.as_ref() == Some(&next) => return Err(Fault::Repeated),
+                Some(next) => token = Some(next),
+                None => return Ok((rows.into_values().collect(), pages)),
             }
             if pages % 8 == 0 {
                 sleep(Duration::from_secs_f64(each_page * 8.0)).await;
--- a/hive/src/counts.rs
+++ b/hive/src/counts.rs
@@ -6,7 +6,7 @@
 use lupinledge_gossip::Gossip;
 use lupinledge_messaging::{parts, round, units, Post, Word};
 use lupinledge_nectar::duty::{Answer, Duty, Look, Seen};
-use lupinledge_nectar::told::Told;
+use lupinledge_nectar::told::{Part, Told};
 use lupinledge_nectar::Incarnation;
 use lupinledge_propolis::Tables;
 use lupinledge_queen::Node;
@@ -85,15 +85,15 @@
     }
 
     /// What a gateway told the holder before this one.
-    pub fn told(&self, from: Node, incarnation: u16, to: u64, told: &[(u64, f64, f64, f64, f32)]) {
+    pub fn told(&self, from: Incarnation, to: u64, told: &[(u64, f64, f64, f64, f32)], (nth, of): (u8, u8)) {
         let Some(epoch) = self.agree.leads().filter(|e| *e == to) else { return };
         let told = told.iter().take(CALLS_MOST).map(|&(name, sum, within, total, life)| {
             let life = f64::from(life);
             Told { name, sum, within, total, life }
         });
-        let told: Vec<Told> = told.collect();
+        let part = Part { nth, of, told: told.collect() };
         self.hold(epoch);
-        self.duty.borrow_mut().tell(self.clock.now(), epoch, (from, incarnation), &told);
+        self.duty.borrow_mut().tell(self.clock.now(), epoch, from, &part);
     }
 
     /// Takes sums, and answers with the totals as soon as they are whole; without the duty, with none.
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -290,7 +290,9 @@
             Word::Count { tag, incarnation, calls } => {
                 self.counts.heard(self.gossip.post(), (from, incarnation), tag, &calls)
             }
-            Word::Told { incarnation, told, epoch } => self.counts.told(from, incarnation, epoch, &told),
+            Word::Told { incarnation, told, epoch, part } => {
+                self.counts.told((from, incarnation), epoch, &told, part)
+            }
             Word::Clock { sent } if self.agree.leads().is_some() => {
                 self.gossip.post().cast(from, &Word::ClockIs { sent, hive: self.clock.hive() });
             }
--- a/hive/src/platform.rs
+++ b/hive/src/platform.rs
@@ -1,4 +1,5 @@
-//! Calls to the platform over one kept connection.
+//! Calls to the platform. Its answers bear no id, so each reading of the list has a connection of its own: what comes too
+//! much in one is never read in the next. The connection for the next reading is opened ahead of it.
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -24,6 +25,8 @@
     Unreachable,
     Status(#[allow(dead_code)] u16),
     Unreadable,
+    /// A page came again instead of the one after it.
+    Repeated,
     /// The pages never end.
     Endless,
 }
@@ -47,6 +50,12 @@
         Platform { address, link: None }
     }
 
+    /// A reading is over: the next one has a connection of its own, which is opened now.
+    pub async fn renew(&mut self) {
+        self.link = None;
+        self.link = timeout(SLOW, self.dial()).await.ok().and_then(Result::ok);
+    }
+
     /// The page that a token stands for; the first without one.
     pub async fn page(&mut self, token: Option<&str>) -> Result<Page, Fault> {
         let mut path = "/instances".to_string();
--- a/messaging/src/word.rs
+++ b/messaging/src/word.rs
@@ -73,7 +73,7 @@
         /// Comes back with the answer.
         tag: u64,
         /// Another start of the sender has another one.
-        incarnation: u16,
+        incarnation: u32,
         /// Name, sum ([`parts`]), and for how many seconds after its last use the name is kept.
         calls: Vec<(u64, i64, u16)>,
     },
@@ -87,11 +87,13 @@
     #[serde(rename = "o")]
     Told {
         /// As in counts.
-        incarnation: u16,
+        incarnation: u32,
         /// Of each name: the sum, what of it was in the last total, that total, and the name's life.
         told: Vec<(u64, f64, f64, f64, f32)>,
         /// Under which the new holder holds them: it takes nothing that was meant for another epoch.
         epoch: u64,
+        /// Which part of what is told this is, and of how many.
+        part: (u8, u8),
     },
     /// The totals with the sums that were told.
     #[serde(rename = "t")]
--- a/messaging/tests/words.rs
+++ b/messaging/tests/words.rs
@@ -87,7 +87,7 @@
         },
         Word::Count { tag: 1, incarnation: 9, calls: vec![(5, 16, 8)] },
         Word::Hold { epoch: 4 },
-        Word::Told { incarnation: 9, told: vec![(5, 2.0, 1.0, 7.0, 8.0)], epoch: 4 },
+        Word::Told { incarnation: 9, told: vec![(5, 2.0, 1.0, 7.0, 8.0)], epoch: 4, part: (0, 1) },
         Word::Counted { tag: 1, round: 3, totals: vec![] },
         Word::ClockIs { sent: 1.0, hive: 2.0 },
     ];
--- a/nectar/src/calls.rs
+++ b/nectar/src/calls.rs
@@ -17,7 +17,7 @@
 /// Those of one process, each with what it stands for.
 #[derive(Debug)]
 pub struct Calls<T> {
-    incarnation: u16,
+    incarnation: u32,
     given: u16,
     waiting: VecDeque<Call<T>>,
 }
@@ -33,7 +33,7 @@
 
 impl<T> Calls<T> {
     /// Another start of the process has another `incarnation`.
-    pub fn new(incarnation: u16) -> Calls<T> {
+    pub fn new(incarnation: u32) -> Calls<T> {
         Calls { incarnation, given: 0, waiting: VecDeque::new() }
     }
 
@@ -47,7 +47,7 @@
         self.waiting.is_empty()
     }
 
-    /// A call to the holder of an epoch, made at `now` (seconds); returns its number, under 2^32, or with
+    /// A call to the holder of an epoch, made at `now` (seconds); returns its number, under 2^48, or with
     /// [`WAITING_MOST`] waiting `what` again.
     pub fn ask(&mut self, now: f64, (epoch, to): (u64, Node), what: T) -> Result<u64, T> {
         if self.waiting.len() >= WAITING_MOST {
--- a/nectar/src/duty.rs
+++ b/nectar/src/duty.rs
@@ -3,7 +3,7 @@
 
 use crate::calls::before;
 use crate::silence::NODES_MOST;
-use crate::told::Told;
+use crate::told::Part;
 use crate::{Counters, Incarnation, Node};
 use std::collections::HashMap;
 
@@ -56,7 +56,7 @@
     counters: Counters,
     waiting: Vec<(Incarnation, u64, Vec<u64>)>,
     /// Of each gateway, its start, the newest call that was heard of it, and when.
-    newest: HashMap<Node, (u16, u64, f64)>,
+    newest: HashMap<Node, (u32, u64, f64)>,
 }
 
 impl Held {
@@ -124,9 +124,9 @@
 
     /// What a gateway told the holder before this one. `epoch`: for which holder it was told; what was meant for
     /// another one is late, and the gateway tells again.
-    pub fn tell(&mut self, now: f64, epoch: u64, from: Incarnation, told: &[Told]) {
+    pub fn tell(&mut self, now: f64, epoch: u64, from: Incarnation, part: &Part) {
         if let Some(held) = self.held.as_mut().filter(|h| h.epoch == epoch) {
-            held.counters.tell(now, from, told);
+            held.counters.tell(now, from, part);
         }
     }
 
--- a/nectar/src/lib.rs
+++ b/nectar/src/lib.rs
@@ -42,8 +42,9 @@
     gathering: Gathering,
 }
 
-/// One process of a gateway: its address, and a number that another start of it does not have.
-pub type Incarnation = (Node, u16);
+/// One process of a gateway: its address, and a number that another start of it does not have but by a chance of one in
+/// 2^32.
+pub type Incarnation = (Node, u32);
 
 #[derive(Clone, Debug)]
 struct Name {
--- a/nectar/src/told.rs
+++ b/nectar/src/told.rs
@@ -22,10 +22,52 @@
     pub life: f64,
 }
 
+/// What one gateway tells comes in parts where it is more than this many names: a message then holds some ten kilobytes.
+pub const PART_MOST: usize = 512;
+/// Most parts: as many as a set of 64 bits holds.
+const PARTS_MOST: usize = 64;
+
+/// One part of what a gateway tells: that of the names whose customers fall to it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// Which one it is, of how many.
+    pub nth: u8,
+    pub of: u8,
+    pub told: Vec<Told>,
+}
+
+impl Part {
+    /// All of it.
+    pub fn whole(told: Vec<Told>) -> Part {
+        Part { nth: 0, of: 1, told }
+    }
+
+    /// Cuts what is told into parts. A name falls to the same one each time it is told, whatever else is.
+    pub fn cut(told: Vec<Told>) -> Vec<Part> {
+        let of = told.len().div_ceil(PART_MOST).next_power_of_two().min(PARTS_MOST);
+        let empty = |nth| Part { nth: nth as u8, of: of as u8, told: Vec::new() };
+        let mut parts: Vec<Part> = (0..of).map(empty).collect();
+        for told in told {
+            // customers are numbers of a hash: their lowest bits are as good as any
+            parts[customer(told.name) as usize % of].told.push(told);
+        }
+        parts
+    }
+}
+
+/// Which parts of a gateway's were heard.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    of: u8,
+    parts: u64,
+}
+
 /// Who told what.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Gathering {
     told: BTreeSet<Node>,
+    /// Of those that have told a part alone.
+    partly: HashMap<Node, Heard>,
     /// By name of use, until the counters are whole.
     before: HashMap<u64, Before>,
     whole: bool,
@@ -39,6 +81,29 @@
     most: f64,
 }
 
+impl Gathering {
+    /// Notes that the gateway told this part; whether it did so for the first time. One that cuts what it tells into
+    /// another number of parts than before begins anew, and what was within its totals is not taken again.
+    fn first(&mut self, node: Node, part: &Part) -> bool {
+        let sound = part.nth < part.of && usize::from(part.of) <= PARTS_MOST;
+        let room = self.told.len() + self.partly.len() < NODES_MOST || self.partly.contains_key(&node);
+        if !sound || !room || self.told.contains(&node) {
+            return false;
+        }
+        let heard = self.partly.entry(node).or_insert(Heard { of: part.of, parts: 0 });
+        let again = heard.of != part.of || heard.parts >> part.nth & 1 == 1;
+        if heard.of != part.of {
+            *heard = Heard { of: part.of, parts: 0 };
+        }
+        heard.parts |= 1 << part.nth;
+        if heard.parts.count_ones() == u32::from(heard.of) {
+            self.partly.remove(&node);
+            self.told.insert(node);
+        }
+        !again
+    }
+}
+
 impl Counters {
     /// Whether totals are those of all, and not of those alone that were heard so far.
     pub fn whole(&self) -> bool {
@@ -57,14 +122,14 @@
 
     /// What a gateway had told the holder before, from itself: to be heard ahead of its first sum. Of one that tells
     /// late, what was taken for lost is counted no more.
-    pub fn tell(&mut self, now: f64, from: Incarnation, told: &[Told]) {
-        for t in told {
+    pub fn tell(&mut self, now: f64, from: Incarnation, part: &Part) {
+        for t in &part.told {
             self.put(now, from, t.name, t.sum, t.life);
         }
         self.heard(now, from.0);
-        let first = self.gathering.told.len() < NODES_MOST && self.gathering.told.insert(from.0);
+        let first = self.gathering.first(from.0, part);
         let sound = |t: &&Told| first && of_use(t.name) && t.total.is_finite() && t.within.is_finite();
-        for t in told.iter().filter(sound) {
+        for t in part.told.iter().filter(sound) {
             match (self.gathering.whole, self.names.get_mut(&t.name)) {
                 (true, Some(kept)) => {
                     let found = t.within.clamp(0.0, kept.lost);
--- a/nectar/tests/calls.rs
+++ b/nectar/tests/calls.rs
@@ -5,7 +5,7 @@
 use lupinledge_nectar::Node;
 
 /// What a call stands for: the start of its process, and which of that start's calls it is.
-type What = (u16, u32);
+type What = (u32, u32);
 
 /// An answer under way.
 #[derive(Clone, Copy)]
@@ -19,7 +19,7 @@
 struct Play {
     rng: fastrand::Rng,
     calls: Calls<What>,
-    incarnation: u16,
+    incarnation: u32,
     made: u32,
     holder: (u64, Node),
     under_way: Vec<Answer>,
@@ -32,7 +32,7 @@
         match self.rng.u8(..20) {
             0 => {
                 // another start: its numbers of calls begin anew, and the holder knows nothing of it
-                self.incarnation = self.incarnation.wrapping_add(self.rng.u16(1..4));
+                self.incarnation = self.incarnation.wrapping_add(self.rng.u32(1..4) << 16);
                 (self.calls, self.made) = (Calls::new(self.incarnation), 0);
             }
             1 => {
@@ -104,14 +104,14 @@
 
 #[test]
 fn calls_are_bounded_and_numbers_come_again_late() {
-    let mut calls = Calls::new(u16::MAX);
+    let mut calls = Calls::new(u32::MAX);
     let tags: Vec<u64> = (0..WAITING_MOST).map(|n| calls.ask(0.0, (1, 1), n).unwrap()).collect();
     assert_eq!((calls.ask(0.0, (1, 1), 0), calls.len()), (Err(0), WAITING_MOST));
     assert_eq!(calls.drain().len(), WAITING_MOST);
     let again = (0..u32::from(u16::MAX)).find(|_| {
         let tag = calls.ask(1.0, (1, 1), 0).unwrap();
         calls.overdue(1.0, 0.0);
-        assert!(tag < 1 << 32);
+        assert!(tag < 1 << 48);
         tag == tags[0]
     });
     assert!(again.is_none_or(|n| n as usize + WAITING_MOST >= 1 << 16));
--- a/nectar/tests/duty.rs
+++ b/nectar/tests/duty.rs
@@ -1,7 +1,7 @@
 //! What the duty holder does with its counters when gateways tell late, or what was meant for another epoch.
 
 use lupinledge_nectar::duty::{Answer, Duty, Look, Seen, LATE};
-use lupinledge_nectar::told::Told;
+use lupinledge_nectar::told::{Part, Told};
 use lupinledge_nectar::Node;
 
 const NAME: u64 = 1 << 24;
@@ -17,7 +17,7 @@
     let mut duty = Duty::default();
     duty.hold(1.0, 2);
     assert_eq!(duty.look(1.0, &[seen(7, true), seen(8, false)]), Look::Ask(vec![7]));
-    let told = |sum, within, total| [Told { name: NAME, sum, within, total, life: 60.0 }];
+    let told = |sum, within, total| Part::whole(vec![Told { name: NAME, sum, within, total, life: 60.0 }]);
     duty.tell(1.1, 2, (7, 1), &told(4.0, 4.0, 10.0));
     assert_eq!(duty.count(1.1, (7, 1), 1, [(NAME, 4.0, 60.0)].into_iter()), None);
     let answer = Answer { from: (7, 1), tag: 1, totals: vec![10.0] };
@@ -37,7 +37,7 @@
     let mut duty = Duty::default();
     duty.hold(1.0, 2);
     duty.hold(2.0, 4);
-    let told = [Told { name: NAME, sum: 9.0, within: 9.0, total: 90.0, life: 60.0 }];
+    let told = Part::whole(vec![Told { name: NAME, sum: 9.0, within: 9.0, total: 90.0, life: 60.0 }]);
     for late in [2, 3, 5] {
         duty.tell(2.1, late, (7, 1), &told);
         assert_eq!(duty.look(2.1, &[seen(7, true)]), Look::Ask(vec![7]), "of {late}");
--- a/nectar/tests/model.rs
+++ b/nectar/tests/model.rs
@@ -1,7 +1,7 @@
 //! The counters against slow plain models: a log of all adds, and a fleet whose true use is known.
 
 use lupinledge_nectar::silence::{MEMORY, SILENT};
-use lupinledge_nectar::told::Told;
+use lupinledge_nectar::told::{Part, Told};
 use lupinledge_nectar::{Counters, Node, NAMES_MOST};
 use std::collections::HashMap;
 use std::ops::{Deref, DerefMut};
@@ -300,7 +300,7 @@
         let mut new = Counters::new(2);
         new.quota(CUSTOMER, 100.0);
         for n in (1..=gateways).filter(|n| !gone.contains(n)) {
-            let told: Vec<Told> = own.get(&n).copied().into_iter().collect();
+            let told = Part::whole(own.get(&n).copied().into_iter().collect());
             (0..r.u8(1..3)).for_each(|_| new.tell(now, (n, 1), &told));
             assert!(new.told(n) && !new.whole());
         }
@@ -321,7 +321,7 @@
         // back, with what they had told and no more: nothing is counted twice
         now += 2.0;
         gone.iter()
-            .for_each(|n| new.tell(now, (*n, 1), &own.get(n).copied().into_iter().collect::<Vec<_>>()));
+            .for_each(|n| new.tell(now, (*n, 1), &Part::whole(own.get(n).copied().into_iter().collect())));
         let total = new.put(now, (first, 1), NAME, 0.0, 60.0);
         assert!((total - all).abs() < 1e-6, "{total} counted, {all} sent; {gone:?}, {own:?}");
     });
@@ -332,7 +332,7 @@
 fn what_ended_processes_used_does_not_go_on() {
     let mut c = Counters::new(2);
     c.quota(CUSTOMER, 100.0);
-    let told = |sum: f64| [Told { name: NAME, sum, within: sum, total: 1000.0, life: 60.0 }];
+    let told = |sum: f64| Part::whole(vec![Told { name: NAME, sum, within: sum, total: 1000.0, life: 60.0 }]);
     c.tell(0.0, (1, 1), &told(100.0));
     c.tell(0.0, (2, 1), &told(100.0));
     c.tell(0.0, (3, 2), &told(0.0)); // started anew: some of the 800 that are lost were its own
--- a/tests/silences.rs
+++ b/tests/silences.rs
@@ -6,6 +6,7 @@
 use lupinledge::time::{Point, Span};
 use lupinledge_nectar::duty::{Duty, Look, Seen};
 use lupinledge_nectar::own::Own;
+use lupinledge_nectar::told::Part;
 use lupinledge_nectar::Node;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -142,7 +143,7 @@
             .collect();
         let tell = |duty: &mut Duty, epoch: u64, asked: Vec<Node>| {
             for gateway in gateways.iter().filter(|g| asked.contains(&g.node) && g.there(now)) {
-                duty.tell(secs, epoch, (gateway.node, 1), &gateway.own.told(secs));
+                duty.tell(secs, epoch, (gateway.node, 1), &Part::whole(gateway.own.told(secs)));
             }
         };
         self.look_at = now + 250;
