Tests: a part that is told again takes nothing off what was counted before

Cause: planted at the end, a part that counts each time it is told passed all tests of parts.rs, since every gateway told there. Change: one where a gateway doesn't tell; it fails with that fault and passes without.

--- a/nectar/tests/parts.rs
+++ b/nectar/tests/parts.rs
@@ -83,3 +83,20 @@
         assert!(!counters.told(1), "{nth} of {of}");
     }
 }
+
+/// A part that is told again adds nothing to what is known of the former totals: what one that doesn't tell had counted
+/// stays counted.
+#[test]
+fn a_part_told_again_takes_nothing_off() {
+    let mut counters = Counters::new(2);
+    for (node, own) in (1..).zip(&gateways()).skip(1) {
+        let parts = Part::cut(own.told(1.0));
+        for part in parts.iter().flat_map(|part| [part, part]) {
+            counters.tell(2.0, (node, 1), part);
+        }
+    }
+    counters.close(2.0, &[1]);
+    for name in (0..TENANTS).flat_map(names).filter(|name| name & 1 == 0) {
+        assert_eq!(counters.total(name), f64::from(GATEWAYS), "{name:x}");
+    }
+}
