Soak: sizes, load and kinds of trouble are arguments; connections are used until the process is gone

Cause: the soak had three edge processes and three members of the core by constants, so nothing that grows with the number of gateways could show; a client gave up an open connection once the directory no longer named it.

Restarts and reloads in series that overlap, and a kill of half of the edge processes at once, are kinds of their own. Clients keep an open connection until its process closes it or is gone. RECOVER looks at requests that no quota or key refuses, 2 of 5 of which are to be answered (was 1 of 4 of all: a mix with more of the limited tenant could never reach it, and of the usual mix 7 of 10 are of that kind, so it asks for a little more than before).

Ruled out: another harness for large runs; the same checks serve both. Schedules of a seed are others than before, as the kinds are drawn from a longer list.

--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -1,7 +1,7 @@
 //! Clients: most keep to the protocol and note what they meet; some misbehave and are only there to be borne.
 
 use crate::backend::{body_for, request_body};
-use crate::cluster::{Cluster, EDGES};
+use crate::cluster::Cluster;
 use crate::configuration::{FREE, HOMED, HOST, LIMITED, MOVING, PAY, READ, UNKNOWN_KEY};
 use crate::record::{Ending, Record, Seconds, Sent};
 use lupinledge_example::http::{Client, Message};
@@ -20,6 +20,13 @@
 /// An answer of the directory is kept for so long.
 const KEEP: Duration = Duration::from_secs(2);
 
+/// Keys are drawn from so many places; these at the end are those of nobody and of the rotating tenant.
+const KEYS_IN_ALL: u8 = 20;
+const OTHER_KEYS: u8 = 4;
+/// The limited tenant's places, unless told otherwise, and the most it may have.
+pub const LIMITED_PLACES: u8 = 5;
+pub const LIMITED_PLACES_MOST: u8 = 15;
+
 /// What all clients of a run share.
 pub struct Crowd {
     pub record: Arc<Record>,
@@ -28,6 +35,8 @@
     pub rotating_key: Arc<std::sync::Mutex<String>>,
     pub stop: AtomicBool,
     pub seed: u64,
+    /// Of [`KEYS_IN_ALL`] requests, how many bear the limited tenant's key; unlimited ones make room for more.
+    pub limited: u8,
 }
 
 /// One client that keeps to the protocol.
@@ -87,9 +96,10 @@
             7 => (HOMED, false),
             _ => (MOVING, true),
         };
-        let key = match self.rng.u8(0..20) {
-            0..=10 => FREE.1.to_string(),
-            11..=15 => LIMITED.1.to_string(),
+        let limited_from = KEYS_IN_ALL - OTHER_KEYS - self.crowd.limited;
+        let key = match self.rng.u8(0..KEYS_IN_ALL) {
+            nth if nth < limited_from => FREE.1.to_string(),
+            nth if nth < KEYS_IN_ALL - OTHER_KEYS => LIMITED.1.to_string(),
             16 => UNKNOWN_KEY.to_string(),
             _ => self.crowd.rotating_key.lock().map(|key| key.clone()).unwrap_or_default(),
         };
@@ -101,8 +111,9 @@
         if self.learnt.is_some_and(|at| at.elapsed() < KEEP) {
             return;
         }
-        let first = self.rng.usize(0..3);
-        for core in (0..3).map(|i| (first + i) % 3) {
+        let cores = self.crowd.cluster.size().cores;
+        let first = self.rng.usize(0..cores);
+        for core in (0..cores).map(|i| (first + i) % cores) {
             let at = self.crowd.cluster.control(core);
             if let Some(fronts) = resolve(at) {
                 (self.fronts, self.learnt) = (fronts, Some(Instant::now()));
@@ -110,13 +121,15 @@
             }
         }
         if self.fronts.is_empty() {
-            self.fronts = (0..EDGES).map(|edge| self.crowd.cluster.front(edge)).collect();
+            let cluster = &self.crowd.cluster;
+            self.fronts = (0..cluster.size().edges).map(|edge| cluster.front(edge)).collect();
         }
     }
 
     fn connection(&mut self) -> Option<(SocketAddr, Client)> {
-        if let Some((front, client)) = self.link.take().filter(|(front, _)| self.fronts.contains(front)) {
-            return Some((front, client));
+        // an open connection is used until its process is gone, whatever the directory says meanwhile
+        if let Some(link) = self.link.take() {
+            return Some(link);
         }
         let front = self.fronts[self.rng.usize(0..self.fronts.len())];
         match Client::within(front, DEADLINE + PATIENCE) {
@@ -203,7 +216,7 @@
     let mut rng = fastrand::Rng::with_seed(crowd.seed << 16 | 1 << 15 | nth);
     let mut held: Vec<TcpStream> = Vec::new();
     while !crowd.stop.load(Ordering::SeqCst) {
-        let front = crowd.cluster.front(rng.usize(0..EDGES));
+        let front = crowd.cluster.front(rng.usize(0..crowd.cluster.size().edges));
         if let Ok(stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) {
             held.extend(misdeed(stream, &mut rng));
         }
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -15,12 +15,42 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
-/// Members of the core, and edge processes.
-pub const CORES: usize = 3;
-pub const EDGES: usize = 3;
+/// How many processes of each kind a run has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Members of the core.
+    pub cores: usize,
+    pub edges: usize,
+}
+
+impl Default for Size {
+    fn default() -> Size {
+        Size { cores: 3, edges: 3 }
+    }
+}
+
+impl Size {
+    /// All processes of a run, members of the core first.
+    pub fn processes(self) -> impl Iterator<Item = Process> {
+        self.core().chain((0..self.edges).map(Process::Edge))
+    }
+
+    /// The members of the core.
+    pub fn core(self) -> impl Iterator<Item = Process> {
+        (0..self.cores).map(Process::Core)
+    }
+
+    /// Whether there are addresses for all processes, and a core that can lose a member.
+    pub fn check(self) -> eyre::Result<()> {
+        eyre::ensure!((3..=9).contains(&self.cores), "--cores: {} is not within 3 to 9", self.cores);
+        let most = usize::from(FIRST_SUCCESSOR) - 1 - self.cores;
+        eyre::ensure!((1..=most).contains(&self.edges), "--edges: {} is not within 1 to {most}", self.edges);
+        Ok(())
+    }
+}
 
 /// The last part of the addresses of machines that come later.
-const FIRST_SUCCESSOR: u8 = 50;
+const FIRST_SUCCESSOR: u8 = 200;
 /// The file with the ids of all processes started.
 const STARTED: &str = "started";
 
@@ -77,6 +107,7 @@
     programs: Programs,
     folder: PathBuf,
     platform: SocketAddr,
+    size: Size,
     ports: Ports,
     nodes: Vec<Mutex<Node>>,
     /// Ends the processes should this one be killed.
@@ -142,14 +173,14 @@
         programs: Programs,
         folder: PathBuf,
         platform: SocketAddr,
+        size: Size,
     ) -> eyre::Result<Arc<Cluster>> {
         // what an earlier run of the same seed left is no state of this one
         let _ = fs::remove_dir_all(&folder);
         fs::create_dir_all(&folder).wrap_err_with(|| folder.display().to_string())?;
         let [second, third] = network();
-        let processes = (0..CORES).map(Process::Core).chain((0..EDGES).map(Process::Edge));
         let nodes: Vec<Mutex<Node>> = (1..)
-            .zip(processes)
+            .zip(size.processes())
             .map(|(last, process)| {
                 let ip = Ipv4Addr::new(127, second, third, last);
                 Mutex::new(Node { process, ip, child: None, ending: false })
@@ -163,6 +194,7 @@
             programs,
             folder,
             platform,
+            size,
             ports,
             nodes,
             watchdog,
@@ -174,14 +206,14 @@
         lock(
             &self.nodes[match process {
                 Process::Core(i) => i,
-                Process::Edge(i) => CORES + i,
+                Process::Edge(i) => self.size.cores + i,
             }],
         )
     }
 
-    /// All processes.
-    pub fn processes() -> impl Iterator<Item = Process> {
-        (0..CORES).map(Process::Core).chain((0..EDGES).map(Process::Edge))
+    /// How many processes there are.
+    pub fn size(&self) -> Size {
+        self.size
     }
 
     /// The address of a process.
@@ -201,7 +233,7 @@
 
     /// The edge process at an address.
     pub fn edge_at(&self, front: SocketAddr) -> Option<usize> {
-        (0..EDGES).find(|edge| self.front(*edge) == front)
+        (0..self.size.edges).find(|edge| self.front(*edge) == front)
     }
 
     fn name(process: Process) -> String {
@@ -232,7 +264,7 @@
 
     /// Where the members of the core are called, as the operator's list has them now.
     fn seeds(&self) -> Vec<SocketAddr> {
-        (0..CORES).map(|core| self.control(core)).collect()
+        (0..self.size.cores).map(|core| self.control(core)).collect()
     }
 
     fn settings(&self, process: Process, ip: Ipv4Addr, seeds: &[SocketAddr], bootstrap: bool) -> Value {
@@ -422,7 +454,7 @@
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        Self::processes().for_each(|process| self.kill(process));
+        self.size.processes().for_each(|process| self.kill(process));
         let _ = (self.watchdog.kill(), self.watchdog.wait());
     }
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -1,28 +1,36 @@
 //! The fault injector: troubles of all kinds at random, several at a time, with calm spells between.
 
 use crate::checks::Scope;
-use crate::cluster::{Cluster, Signal, CORES, EDGES};
+use crate::cluster::{Cluster, Signal};
 use crate::configuration::bounds;
 use crate::platform::Platform;
 use crate::record::{Process, Record};
+use std::ops::Range;
+use std::str::FromStr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, JoinHandle};
 use std::time::{Duration, Instant};
 
-/// Troubles follow each other within a spell after so many milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 150..1100;
+/// Troubles follow each other within a spell after so many milliseconds, unless told otherwise.
+pub const PAUSE_MS: Range<u64> = 150..1100;
 /// Spells of trouble and of calm, in seconds.
-const SPELL: std::ops::Range<u64> = 4..9;
-const CALM: std::ops::Range<u64> = 4..8;
+const SPELL: Range<u64> = 4..9;
+const CALM: Range<u64> = 4..8;
 
 /// A successor is waited for so long before the one that it follows is told to end.
 const SUCCESSION: Duration = Duration::from_secs(3);
 
+/// Restarts in series follow each other after so many milliseconds.
+const SERIES_MS: Range<u64> = 50..1_000;
+
 /// A kind of trouble.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
+pub enum Kind {
     KillEdge,
+    KillEdges,
+    RestartEdges,
+    ReloadEdges,
     FreezeEdge,
     RestartEdge,
     ReloadEdge,
@@ -45,8 +53,12 @@
     SilencePlatform,
 }
 
-const KINDS: [Kind; 21] = [
+/// All kinds.
+pub const KINDS: [Kind; 24] = [
     Kind::KillEdge,
+    Kind::KillEdges,
+    Kind::RestartEdges,
+    Kind::ReloadEdges,
     Kind::FreezeEdge,
     Kind::RestartEdge,
     Kind::ReloadEdge,
@@ -69,6 +81,31 @@
     Kind::SilencePlatform,
 ];
 
+impl FromStr for Kind {
+    type Err = eyre::Report;
+
+    /// A kind by its name, without regard to case and hyphens.
+    fn from_str(name: &str) -> eyre::Result<Kind> {
+        let plain = |text: &str| text.replace('-', "").to_lowercase();
+        let found = KINDS.into_iter().find(|kind| plain(&format!("{kind:?}")) == plain(name));
+        found.ok_or_else(|| eyre::eyre!("no kind of trouble: {name}; there are {KINDS:?}"))
+    }
+}
+
+/// What troubles a run has, and how close together.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    pub kinds: Vec<Kind>,
+    /// Milliseconds from one trouble of a spell to the next.
+    pub pause: Range<u64>,
+}
+
+impl Default for Schedule {
+    fn default() -> Schedule {
+        Schedule { kinds: KINDS.to_vec(), pause: PAUSE_MS }
+    }
+}
+
 /// See the module.
 pub struct Injector {
     pub record: Arc<Record>,
@@ -76,6 +113,7 @@
     pub platform: Arc<Platform>,
     pub stop: AtomicBool,
     pub seed: u64,
+    schedule: Schedule,
     /// Whether a bound in time is judged.
     timed: bool,
     /// One trouble at a time starts, stops or freezes a process: none of these makes sense on another's remains.
@@ -92,6 +130,14 @@
     }
 }
 
+/// Edge processes by lot, from one to so many.
+fn some_edges(edges: usize, most: usize, rng: &mut fastrand::Rng) -> Vec<Process> {
+    let mut all: Vec<Process> = (0..edges).map(Process::Edge).collect();
+    rng.shuffle(&mut all);
+    all.truncate(rng.usize(1..=most));
+    all
+}
+
 impl Injector {
     /// With no trouble yet.
     pub fn new(
@@ -99,6 +145,7 @@
         cluster: Arc<Cluster>,
         platform: Arc<Platform>,
         seed: u64,
+        schedule: Schedule,
         scope: Scope,
     ) -> Arc<Injector> {
         let (busy, cuts) = Default::default();
@@ -108,6 +155,7 @@
             platform,
             stop: AtomicBool::new(false),
             seed,
+            schedule,
             timed: scope == Scope::All,
             busy,
             cuts,
@@ -130,10 +178,11 @@
         while !self.stop.load(Ordering::SeqCst) {
             let spell = Instant::now() + Duration::from_secs(rng.u64(SPELL));
             while Instant::now() < spell && !self.stop.load(Ordering::SeqCst) {
-                let (kind, seed, me) = (KINDS[rng.usize(0..KINDS.len())], rng.u64(..), self.clone());
+                let kinds = &self.schedule.kinds;
+                let (kind, seed, me) = (kinds[rng.usize(0..kinds.len())], rng.u64(..), self.clone());
                 running
                     .push(std::thread::spawn(move || me.trouble(kind, &mut fastrand::Rng::with_seed(seed))));
-                sleep(Duration::from_millis(rng.u64(PAUSE_MS)));
+                sleep(Duration::from_millis(rng.u64(self.schedule.pause.clone())));
             }
             running.drain(..).for_each(|trouble| drop(trouble.join()));
             let calm = Instant::now() + Duration::from_secs(rng.u64(CALM));
@@ -149,16 +198,24 @@
     }
 
     fn trouble(&self, kind: Kind, rng: &mut fastrand::Rng) {
-        let (edge, core) = (Process::Edge(rng.usize(0..EDGES)), Process::Core(rng.usize(0..CORES)));
+        let size = self.cluster.size();
+        let edge = Process::Edge(rng.usize(0..size.edges));
+        let core = Process::Core(rng.usize(0..size.cores));
         let down = Duration::from_millis(rng.u64(50..1500));
         let frozen = Duration::from_millis(rng.u64(50..4000));
         match kind {
             Kind::KillEdge => self.kill(&[edge], down, "kill"),
             Kind::KillCore => self.kill(&[core], down, "kill"),
-            Kind::KillCores => {
-                self.kill(&(0..CORES).map(Process::Core).collect::<Vec<_>>(), down, "kill all cores:")
+            Kind::KillCores => self.kill(&size.core().collect::<Vec<_>>(), down, "kill all cores:"),
+            Kind::KillAll => self.kill(&size.processes().collect::<Vec<_>>(), down, "kill all:"),
+            Kind::KillEdges => {
+                let half = some_edges(size.edges, size.edges.div_ceil(2), rng);
+                self.kill(&half, down, "kill half of the edges:")
+            }
+            Kind::RestartEdges => {
+                self.restart_in_series(&some_edges(size.edges, size.edges.div_ceil(3), rng), rng)
             }
-            Kind::KillAll => self.kill(&Cluster::processes().collect::<Vec<_>>(), down, "kill all:"),
+            Kind::ReloadEdges => self.reload_in_series(&some_edges(size.edges, size.edges, rng), rng),
             Kind::FreezeEdge => self.freeze(edge, frozen),
             Kind::FreezeCore => self.freeze(core, frozen),
             Kind::RestartEdge => self.restart(edge, down),
@@ -166,18 +223,18 @@
             Kind::ReloadEdge => self.reload(edge, rng.bool()),
             Kind::ReloadCore => self.reload(core, rng.bool()),
             Kind::WipeCore => self.wipe(core, down),
-            Kind::ReplaceCore => self.replace(rng.usize(0..CORES), true, down),
-            Kind::LoseCore => self.replace(rng.usize(0..CORES), false, down),
+            Kind::ReplaceCore => self.replace(rng.usize(0..size.cores), true, down),
+            Kind::LoseCore => self.replace(rng.usize(0..size.cores), false, down),
             Kind::FreezeAny => {
-                let any: Vec<Process> = Cluster::processes().collect();
+                let any: Vec<Process> = size.processes().collect();
                 self.freeze_within_others(
                     any[rng.usize(0..any.len())],
                     Duration::from_millis(rng.u64(50..1200)),
                 );
             }
-            Kind::CutEdge => self.cut(edge, (0..CORES).map(Process::Core).collect(), frozen),
-            Kind::CutCore => self.cut(core, (0..CORES).map(Process::Core).collect(), frozen),
-            Kind::CutServices => self.cut(core, Cluster::processes().collect(), frozen),
+            Kind::CutEdge => self.cut(edge, size.core().collect(), frozen),
+            Kind::CutCore => self.cut(core, size.core().collect(), frozen),
+            Kind::CutServices => self.cut(core, size.processes().collect(), frozen),
             Kind::CrashServer => self.platform.crash(rng.usize(..)),
             Kind::ReplaceServer => self.platform.replace(rng.usize(..)),
             Kind::ResetServer => self.platform.reset_connections(rng.usize(..)),
@@ -245,6 +302,28 @@
         self.record.over(away);
     }
 
+    /// Tells these to end one after the other, each a while after the one before and while that may still be at it.
+    fn restart_in_series(&self, processes: &[Process], rng: &mut fastrand::Rng) {
+        std::thread::scope(|scope| {
+            for process in processes {
+                let down = Duration::from_millis(rng.u64(50..4_000));
+                scope.spawn(move || self.restart(*process, down));
+                sleep(Duration::from_millis(rng.u64(SERIES_MS)));
+            }
+        });
+    }
+
+    /// Has these read their settings anew, one right after the other; some find half a file.
+    fn reload_in_series(&self, processes: &[Process], rng: &mut fastrand::Rng) {
+        std::thread::scope(|scope| {
+            for process in processes {
+                let whole = rng.u8(0..4) > 0;
+                scope.spawn(move || self.reload(*process, whole));
+                sleep(Duration::from_millis(rng.u64(0..20)));
+            }
+        });
+    }
+
     fn reload(&self, process: Process, whole: bool) {
         let Some(_claim) = self.claim(process) else { return };
         let note = self.note(if whole { "reload" } else { "reload of half a file" }, process, true);
@@ -261,15 +340,16 @@
     /// The whole core, if all of it is sound, in no other trouble's hands, and was so for the time that one that was
     /// away or is new has to catch up: no more than one disk is to be lost at once.
     fn claim_sound_core(&self) -> Option<Vec<Claim<'_>>> {
-        let claims: Vec<Claim> = (0..CORES).filter_map(|i| self.claim(Process::Core(i))).collect();
+        let cores = self.cluster.size().cores;
+        let claims: Vec<Claim> = self.cluster.size().core().filter_map(|p| self.claim(p)).collect();
         let since = self.record.now() - bounds::CATCH_UP;
         let counts = |c: &Claim| {
             let says = |figure: &str, value: u64| self.cluster.metric(c.1, figure) == Some(value);
             let settled =
-                says("core.member", 1) && says("core.settled", 1) && says("core.members", CORES as u64);
+                says("core.member", 1) && says("core.settled", 1) && says("core.members", cores as u64);
             settled && !self.record.disturbed(c.1, since)
         };
-        (claims.len() == CORES && claims.iter().all(counts)).then_some(claims)
+        (claims.len() == cores && claims.iter().all(counts)).then_some(claims)
     }
 
     /// A member of the core is replaced by an empty machine at another address: as planned, the new one first and the
@@ -322,7 +402,7 @@
         let pairs: Vec<(Process, Process)> =
             others.into_iter().filter(|o| *o != process).map(|o| (process, o)).collect();
         let notes: Vec<usize> = match process {
-            Process::Core(_) => (0..CORES).map(|i| self.note("cut", Process::Core(i), false)).collect(),
+            Process::Core(_) => self.cluster.size().core().map(|p| self.note("cut", p, false)).collect(),
             Process::Edge(_) => vec![self.note("cut", process, false)],
         };
         self.change_cuts(|cuts| cuts.extend(&pairs));
@@ -349,10 +429,10 @@
     pub fn closing(&self, rng: &mut fastrand::Rng) {
         let all = rng.bool();
         let victims: Vec<Process> = match all {
-            true => Cluster::processes().collect(),
-            false => (0..CORES).map(Process::Core).collect(),
+            true => self.cluster.size().processes().collect(),
+            false => self.cluster.size().core().collect(),
         };
-        let wiped = rng.bool().then(|| Process::Core(rng.usize(0..CORES)));
+        let wiped = rng.bool().then(|| Process::Core(rng.usize(0..self.cluster.size().cores)));
         // a disk may be lost only where the one before was made up for
         let wiped = wiped.filter(|_| self.claim_sound_core().is_some());
         let notes: Vec<usize> = victims.iter().map(|v| self.note("closing fault", *v, false)).collect();
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -1,6 +1,6 @@
 //! The operator: changes the configuration, reads it back, evacuates zones, and sends again what got no clear answer.
 
-use crate::cluster::{Cluster, CORES};
+use crate::cluster::Cluster;
 use crate::configuration::{bounds, configuration, moving_to, rotating_key, ZONES};
 use crate::record::{Evacuation, Record, Seconds, Version};
 use lupinledge_example::http::{Client, Message};
@@ -62,7 +62,7 @@
     fn call(&self, rng: &mut fastrand::Rng, method: &str, path: &str, body: &[u8]) -> Option<Clear> {
         let (began, mut pause) = (Instant::now(), 20);
         while began.elapsed() < CALL_AT_MOST {
-            let first = rng.usize(0..CORES);
+            let first = rng.usize(0..self.cluster.size().cores);
             if rng.u8(0..8) == 0 {
                 // its answer is lost: the same is sent again
                 drop(self.try_at(first, method, path, body));
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -2,14 +2,14 @@
 
 use crate::backend::Behaviour;
 use crate::checks::{Evidence, Scope};
-use crate::client::{honest, longest_wait, misbehaving, Crowd};
-use crate::cluster::{Cluster, Programs, EDGES};
+use crate::client::{honest, longest_wait, misbehaving, Crowd, LIMITED_PLACES};
+use crate::cluster::{Cluster, Programs, Size};
 use crate::configuration::bounds::RECOVER;
-use crate::configuration::LIMITED;
-use crate::faults::Injector;
+use crate::configuration::{LIMITED, UNKNOWN_KEY};
+use crate::faults::{Injector, Schedule};
 use crate::operator::Operator;
 use crate::platform::Platform;
-use crate::record::{Ending, Process, Record, Seen};
+use crate::record::{Ending, Process, Record, Seen, Sent};
 use eyre::{bail, WrapErr};
 use std::collections::{BTreeMap, HashMap};
 use std::path::PathBuf;
@@ -40,14 +40,36 @@
     /// Troubles go on for so long.
     pub trouble: Duration,
     pub programs: Programs,
+    pub size: Size,
     /// Clients that keep to the protocol.
     pub clients: u64,
+    /// Of 20 requests, how many bear the limited tenant's key.
+    pub limited: u8,
+    pub schedule: Schedule,
     /// Which promises are judged.
     pub scope: Scope,
     /// For settings, disks and logs; removed where nothing was broken.
     pub folder: PathBuf,
 }
 
+impl Plan {
+    /// A run of the usual size and load, with troubles of all kinds.
+    pub fn usual(seed: u64, trouble: Duration, programs: Programs, scope: Scope, folder: PathBuf) -> Plan {
+        let (size, schedule) = (Size::default(), Schedule::default());
+        Plan {
+            seed,
+            trouble,
+            programs,
+            size,
+            clients: CLIENTS,
+            limited: LIMITED_PLACES,
+            schedule,
+            scope,
+            folder,
+        }
+    }
+}
+
 /// What came of a run.
 #[derive(Debug)]
 pub struct Verdict {
@@ -61,9 +83,9 @@
     let record = Arc::new(Record::default());
     let behaviour = Behaviour { seed: plan.seed, faulty_in_100: FAULTY_IN_100 };
     let (platform, at) = Platform::start(record.clone(), behaviour).wrap_err("platform")?;
-    let cluster = Cluster::new(record.clone(), plan.programs.clone(), plan.folder.clone(), at)?;
+    let cluster = Cluster::new(record.clone(), plan.programs.clone(), plan.folder.clone(), at, plan.size)?;
     cluster.cut(&[])?;
-    Cluster::processes().try_for_each(|p| cluster.start(p, matches!(p, Process::Core(_))))?;
+    plan.size.processes().try_for_each(|p| cluster.start(p, matches!(p, Process::Core(_))))?;
     let rotating_key: Arc<Mutex<String>> = Arc::default();
     let operator = Arc::new(Operator {
         record: record.clone(),
@@ -83,6 +105,7 @@
         rotating_key,
         stop: AtomicBool::new(false),
         seed: plan.seed,
+        limited: plan.limited,
     });
     let mut clients = Vec::new();
     for nth in 0..plan.clients {
@@ -93,7 +116,14 @@
         let crowd = crowd.clone();
         clients.push(spawn(move || misbehaving(crowd, nth)));
     }
-    let injector = Injector::new(record.clone(), cluster.clone(), platform, plan.seed, plan.scope);
+    let injector = Injector::new(
+        record.clone(),
+        cluster.clone(),
+        platform,
+        plan.seed,
+        plan.schedule.clone(),
+        plan.scope,
+    );
     let (acts, orders) = (injector.clone(), operator.clone());
     let (troubles, orders) = (spawn(move || acts.act()), spawn(move || orders.act()));
     sleep(plan.trouble);
@@ -112,31 +142,31 @@
     crowd.stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| drop(client.join()));
     look_at_the_end(&record, &cluster);
-    std::fs::write(plan.folder.join("timeline"), timeline(&record)).wrap_err("timeline")?;
+    std::fs::write(plan.folder.join("timeline"), timeline(&record, plan.size)).wrap_err("timeline")?;
     Ok(judge(&record, &cluster, plan.scope))
 }
 
 /// What befell whom when, and when configurations were acknowledged, for who looks into a broken run.
-fn timeline(record: &Record) -> String {
+fn timeline(record: &Record, size: Size) -> String {
     let seen = record.seen();
     let mut lines: Vec<(f64, String)> = Vec::new();
     lines.extend(seen.troubles.iter().map(|t| (t.from, format!("{} until {:.3}", t.what, t.until))));
     let acknowledged =
         seen.versions.iter().filter_map(|v| Some((v.acknowledged?, format!("r{} acknowledged", v.number))));
     lines.extend(acknowledged);
-    lines.extend(limited_runs(&seen));
+    lines.extend(limited_runs(&seen, size));
     lines.sort_by(|a, b| a.0.total_cmp(&b.0));
     lines.into_iter().map(|(at, what)| format!("{at:.3} {what}\n")).collect()
 }
 
 /// Runs of the limited tenant, by half a second and edge process.
-fn limited_runs(seen: &Seen) -> Vec<(f64, String)> {
+fn limited_runs(seen: &Seen, size: Size) -> Vec<(f64, String)> {
     let edges: HashMap<&str, usize> = seen.sent.iter().map(|s| (s.id.as_str(), s.edge)).collect();
-    let mut runs: BTreeMap<u64, [usize; EDGES]> = BTreeMap::new();
+    let mut runs: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
     let of_tenant = seen.arrivals.iter().filter(|a| a.ran && a.tenant.as_deref() == Some(LIMITED.0));
     for arrival in of_tenant {
         if let Some(edge) = edges.get(arrival.id.as_str()) {
-            runs.entry((arrival.at * 2.0) as u64).or_default()[*edge] += 1;
+            runs.entry((arrival.at * 2.0) as u64).or_insert_with(|| vec![0; size.edges])[*edge] += 1;
         }
     }
     runs.into_iter().map(|(half, by_edge)| (half as f64 / 2.0, format!("limited runs {by_edge:?}"))).collect()
@@ -144,7 +174,7 @@
 
 fn wait_until_ready(cluster: &Cluster) -> eyre::Result<()> {
     let began = Instant::now();
-    while !(0..EDGES).all(|edge| cluster.ready(edge)) {
+    while !(0..cluster.size().edges).all(|edge| cluster.ready(edge)) {
         if began.elapsed() > START {
             bail!("the system was not ready in time");
         }
@@ -157,11 +187,13 @@
 fn recover(record: &Record, operator: &Operator, rng: &mut fastrand::Rng, back: f64, within: f64) {
     let serves = || {
         let (now, seen) = (record.now(), record.seen());
-        let late = seen.sent.iter().filter(|s| s.at > back && s.at > now - 2.0);
+        // what a quota or a key may refuse says nothing of service
+        let unlimited = |s: &&Sent| s.key != LIMITED.1 && s.key != UNKNOWN_KEY;
+        let late = seen.sent.iter().filter(unlimited).filter(|s| s.at > back && s.at > now - 2.0);
         let (served, all) = late.fold((0, 0), |(served, all), s| {
             (served + usize::from(matches!(s.ending, Ending::Answered { status: 200, .. })), all + 1)
         });
-        all > 10 && served * 4 > all
+        all > 10 && served * 5 > all * 2
     };
     while !serves() {
         if record.now() > back + within {
@@ -179,7 +211,7 @@
 fn look_at_the_end(record: &Record, cluster: &Cluster) {
     sleep(Duration::from_secs_f64(longest_wait() + 0.5));
     cluster.look_for_own_ends();
-    for process in Cluster::processes() {
+    for process in cluster.size().processes() {
         if let Process::Edge(_) = process {
             let unanswered = cluster.metric(process, "requests.unanswered");
             if unanswered != Some(0) {
@@ -203,7 +235,7 @@
 /// Lines of the programs' logs that tell of a fault of their own.
 fn of_logs(cluster: &Cluster) -> Vec<String> {
     let mut found = Vec::new();
-    for process in Cluster::processes() {
+    for process in cluster.size().processes() {
         let log = std::fs::read_to_string(cluster.log(process)).unwrap_or_default();
         let tells = |line: &&str| {
             line.contains("invariant_violated") || line.contains("panicked") || line.contains("event=failed")
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -3,7 +3,7 @@
 
 use lupinledge_soak::checks::Scope;
 use lupinledge_soak::cluster::Programs;
-use lupinledge_soak::run::{run, Plan, CLIENTS};
+use lupinledge_soak::run::{run, Plan};
 use std::path::PathBuf;
 use std::time::Duration;
 use test_case::test_case;
@@ -25,8 +25,7 @@
 fn promises_are_kept_under_overlapping_troubles(seed: u64) {
     let folder = std::env::temp_dir().join(format!("lupinledge-soak-{}-{seed}", std::process::id()));
     let trouble = Duration::from_secs(8);
-    let (programs, clients, scope) = (programs(), CLIENTS, Scope::Untimed);
-    let plan = Plan { seed, trouble, programs, clients, scope, folder: folder.clone() };
+    let plan = Plan::usual(seed, trouble, programs(), Scope::Untimed, folder.clone());
     let verdict = run(&plan).expect("a run");
     assert!(verdict.violations.is_empty(), "{}\n{:#?}", verdict.summary, verdict.violations);
     std::fs::remove_dir_all(folder).expect("its folder goes");
