Sight: what each admission rested on is counted, and the soak's timeline has it

Change: the decisions count requests sent by the basis of their admission (admitted.* in the figures of an edge process); the soak samples them four times a second.

Ruled out: log lines for each admission (hundreds a second).

--- a/comb/src/exchange.rs
+++ b/comb/src/exchange.rs
@@ -9,6 +9,7 @@
 use crate::ids::Ids;
 use lupinledge::control::Control;
 use lupinledge::link::{Action, Ended, Event, ListKind, NewReq, Outcome, SrvRow, SrvState, Terms};
+use lupinledge::tables::Basis;
 use lupinledge::time::{Point, Span};
 use lupinledge_invariants::{check, Invariant};
 use promises::{may_have_run, Promises};
@@ -417,6 +418,11 @@
         }
     }
 
+    /// How many requests were sent, by what their admission rested on.
+    pub fn admissions(&self) -> [u64; Basis::ALL] {
+        self.control.borrow().admissions()
+    }
+
     /// The end of a counter's call, from the counter side: with `Passed` the name's new total.
     pub fn counted(&self, name: u64, total: f64, how: Outcome) {
         self.counters.counter_call.up(how);
--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -5,6 +5,7 @@
 use crate::terms::{lines, stray, terms, Lines, Places, World};
 use crate::wire::Trail;
 use lupinledge::link::{ListKind, SrvRow, SrvState};
+use lupinledge::tables::Basis;
 use lupinledge::time::{Point, Span};
 use lupinledge_comb::clock::Clock;
 use lupinledge_comb::counters::Counters;
@@ -184,9 +185,22 @@
         line("rules.doubted", self.shuts.get());
         drop(w);
         line("requests.unanswered", self.unanswered() as u64);
+        for (name, admitted) in Basis::NAMES.iter().zip(self.admissions()) {
+            line(&format!("admitted.{name}"), admitted);
+        }
         self.counters.each(line);
     }
 
+    /// Requests that were sent, by what their admission rested on. Pools whose service is gone for good are left out.
+    fn admissions(&self) -> [u64; Basis::ALL] {
+        let w = self.wanted.borrow();
+        let mut all = [0; Basis::ALL];
+        for pool in w.pools.values().chain(&w.retired) {
+            all.iter_mut().zip(pool.exchange.admissions()).for_each(|(sum, of_pool)| *sum += of_pool);
+        }
+        all
+    }
+
     /// Requests without an answer.
     pub fn unanswered(&self) -> usize {
         let w = self.wanted.borrow();
--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -5,6 +5,7 @@
 use eyre::{bail, eyre, WrapErr};
 use lupinledge_example::http::{Client, Message};
 use serde_json::{json, Value};
+use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
@@ -280,7 +281,7 @@
         };
         let mut settings = json!({
             "node_name": Self::name(process), "ip": ip, "zone": place.0, "region": place.1,
-            "zones": ZONES.into_iter().collect::<std::collections::BTreeMap<_, _>>(),
+            "zones": ZONES.into_iter().collect::<BTreeMap<_, _>>(),
             "listen": listen, "port_range": [self.ports.peers, self.ports.peers], "seeds": seeds,
             "bootstrap": bootstrap, "counted": matches!(process, Process::Core(_)),
             "tolerate": {"machines": 1, "zones": 1, "regions": 1}, "bounds": bounds_of_settings(),
@@ -344,7 +345,8 @@
 
     /// Whether a successor counts in the core.
     pub fn counts(&self, successor: &Successor) -> bool {
-        self.metric_at((successor.ip, self.ports.control).into(), "core.member") == Some(1)
+        let figures = self.figures_at((successor.ip, self.ports.control).into());
+        figures.is_some_and(|figures| figures.get("core.member") == Some(&1))
     }
 
     /// From here on the successor is that member of the core; the one before has ended.
@@ -413,17 +415,26 @@
 
     /// A figure that a process tells of itself.
     pub fn metric(&self, process: Process, name: &str) -> Option<u64> {
+        self.figures(process)?.get(name).copied()
+    }
+
+    /// All figures that a process tells of itself.
+    pub fn figures(&self, process: Process) -> Option<BTreeMap<String, u64>> {
         let ip = self.ip(process);
         let port = match process {
             Process::Core(_) => self.ports.control,
             Process::Edge(_) => self.ports.ready,
         };
-        self.metric_at((ip, port).into(), name)
+        self.figures_at((ip, port).into())
     }
 
-    fn metric_at(&self, at: SocketAddr, name: &str) -> Option<u64> {
+    fn figures_at(&self, at: SocketAddr) -> Option<BTreeMap<String, u64>> {
         let text = self.get(at, "/lupinledge/metrics")?.text();
-        text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok())
+        let figure = |line: &str| {
+            let (name, value) = line.split_once(' ')?;
+            Some((name.to_string(), value.parse().ok()?))
+        };
+        Some(text.lines().filter_map(figure).collect())
     }
 
     /// Whether an edge process says that it is ready.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! A run is a function of its seed as far as the schedule of faults, requests and server behaviour goes; the
 //! interleaving of processes is the machine's. `docs/soak.md` tells how to use it.
 
+pub mod admissions;
 pub mod backend;
 pub mod checks;
 pub mod client;
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -1,5 +1,6 @@
 //! What clients, servers, the operator and the fault injector saw, on one clock.
 
+use crate::admissions::Admitted;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -108,6 +109,8 @@
     pub versions: Vec<Version>,
     pub evacuations: Vec<Evacuation>,
     pub troubles: Vec<Trouble>,
+    /// What edge processes say of the requests that they sent.
+    pub admitted: Vec<Admitted>,
     /// Broken promises that were seen as they happened.
     pub violations: Vec<String>,
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,5 +1,6 @@
 //! One run: founds the system, lets traffic, troubles and the operator go on at once, strikes a last time, and judges.
 
+use crate::admissions::{self, Sampler};
 use crate::backend::Behaviour;
 use crate::checks::{Evidence, Scope};
 use crate::client::{honest, longest_wait, misbehaving, Crowd, LIMITED_PLACES};
@@ -99,6 +100,7 @@
         bail!("the first configuration was not taken");
     }
     wait_until_ready(&cluster)?;
+    let sampler = Sampler::start(&record, &cluster);
     let crowd = Arc::new(Crowd {
         record: record.clone(),
         cluster: cluster.clone(),
@@ -142,6 +144,7 @@
     crowd.stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| drop(client.join()));
     look_at_the_end(&record, &cluster);
+    sampler.end();
     std::fs::write(plan.folder.join("timeline"), timeline(&record, plan.size)).wrap_err("timeline")?;
     Ok(judge(&record, &cluster, plan.scope))
 }
@@ -155,6 +158,7 @@
         seen.versions.iter().filter_map(|v| Some((v.acknowledged?, format!("r{} acknowledged", v.number))));
     lines.extend(acknowledged);
     lines.extend(limited_runs(&seen, size));
+    lines.extend(admissions::by_half_second(&seen));
     lines.sort_by(|a, b| a.0.total_cmp(&b.0));
     lines.into_iter().map(|(at, what)| format!("{at:.3} {what}\n")).collect()
 }
--- a/src/count.rs
+++ b/src/count.rs
@@ -10,9 +10,10 @@
     pub(crate) fn counted(&mut self, name: u64, total: f64, how: Outcome) {
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
+        let first = self.customers[c].quota.seen.is_none();
         blend(&mut self.slow, self.now.since(call.sent), if answered { 0.1 } else { 0.0 });
-        // A crowded counter gets fewer calls; one unanswered weighs as much as 50 answered, a fresh gateway's
-        // first ones most. What one stall held up is one sign; a spoilt answer is none, nor is silence
+        // A crowded counter gets fewer calls; one unanswered weighs as much as 50 answered, first ones most.
+        // What one stall held up is one sign; a spoilt answer is none, nor is silence
         self.answers += 1.0;
         let heard = answered || how == Outcome::Reset;
         let sign = !heard && self.misses < 6 && self.now.since(self.missed) > self.terms.count_wait.secs();
@@ -31,6 +32,7 @@
             let judged = |r: &&mut Req| r.id == id && r.stage == Stage::Charging && r.end.is_none();
             let Some(r) = self.reqs.at_mut(slot).filter(judged) else { continue };
             r.verdicts -= 1;
+            r.basis = if call.lease { r.basis } else { Basis::counted(answered, first) };
             let (left, own) = (r.verdicts, if call.lease { 1.0 } else { r.units });
             let fits = match (answered, call.lease) {
                 (true, _) => over <= weight - own + 1e-3,
@@ -80,8 +82,7 @@
         let even = if first { 1.0 } else { (-since * p.rate / p.burst.max(1e-3)).exp() };
         let least = if first { least.max(0.0).min(most) } else { least };
         cust.level = most + (least - most) * even * p.overrun_cost / (1.0 + p.overrun_cost);
-        // an empty counter knows nothing of what went out while none answered: the own reckoning goes on.
-        // Behind a silence others may have used their parts, or use them still, unseen: the own one is left
+        // an empty counter knows nothing of what went out meanwhile; behind a silence others used their parts
         let known = (own - call.amount) * if silence && own > call.amount { part } else { 1.0 };
         cust.level = cust.level.min(if fell || silence { known } else { f64::MAX });
         (cust.level_at, cust.run_at) = (self.now, self.now);
@@ -106,8 +107,8 @@
         (total - p.at_once as f64).max(0.0)
     }
 
-    /// The part of a customer's reqs let through while the counter is crowded: cut when a total is past its
-    /// quota or cap, raised when much is left. Peers, who may meet it before their own next total, are told.
+    /// The part of a customer's reqs let through while the counter is crowded: cut past its quota or cap,
+    /// raised when much is left; peers are told.
     fn steer(&mut self, c: usize, lease: bool, over: f64) {
         let (now, cust) = (self.now, &mut self.customers[c]);
         let p = &self.terms.plans[cust.plan];
@@ -147,8 +148,7 @@
         }
     }
 
-    /// A customer's adds: only names that its plan needs, corrections with the next add. Held leases go to
-    /// the next name ahead of it; they stay in the old one, not asked again.
+    /// A customer's adds: only names that its plan needs, corrections with the next add; leases go ahead.
     pub(crate) fn put_counts(&mut self, c: usize, acts: &mut Vec<Action>) {
         let (now, share) = (self.now.secs(), self.share(c));
         let cust = &mut self.customers[c];
@@ -156,8 +156,8 @@
             if !self.terms.counter || self.now < self.trial_at {
                 return;
             }
-            // a hundred trials a second over all gateways: more would keep a counter down
             self.trial_at = self.now.later((self.terms.gateways as f64 / 100.0).max(0.2));
+            // 100/s over all
         }
         let p = &self.terms.plans[cust.plan];
         let (q, l) = (&mut cust.quota, &mut cust.lease);
--- a/src/flight.rs
+++ b/src/flight.rs
@@ -7,6 +7,7 @@
         self.srvs.tokens[srv] -= 1.0; // counts while it is cold
         let Some(r) = self.reqs.at_mut(slot) else { return };
         self.further -= (!r.tries.is_empty() && self.terms.further.is_some()) as u8 as f64;
+        self.admissions[r.basis as usize] += r.tries.is_empty() as u64;
         if r.stage == Stage::Out {
             self.customers[r.customer].hold(1.0, r.leased); // the first dispatch has the lease of the queue
             self.dirty.push(r.customer);
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -19,8 +19,7 @@
         let (p, f, frontend) = (self.terms.plans[n.plan], self.terms.frontends[n.frontend], n.frontend);
         self.customers[c].follow(n.plan, n.spread.max(1.0), p.burst);
         // A repeat counts from its first try. First tries come with the same time left: where repeats are
-        // marked, the most that one without a mark had, else what most come with. Less was cut by the client
-        // timeout, more is a last try. Unmarked, only of customers that also come with the usual time
+        // marked, the most that one without a mark had, else what most come with
         let (first, votes) = &mut self.first_left[frontend];
         let usual = |first: Span| (first.secs() - n.left.secs()).abs() < 0.01 * f.timeout.secs();
         if self.terms.marks_repeats {
@@ -91,7 +90,9 @@
         cust.quota.joins.extend(Some((slot, n.id, charge)).filter(|_| ask_quota));
         cust.quota.urgent |= ahead;
         cust.lease.joins.extend(Some((slot, n.id, leased)).filter(|_| ask_lease));
-        self.reqs.at_mut(slot).into_iter().for_each(|r| (r.charge, r.leased) = (charge, leased));
+        let basis = Basis::arrived(rated, ahead);
+        let told = |r: &mut Req| (r.charge, r.leased, r.basis) = (charge, leased, basis);
+        self.reqs.at_mut(slot).into_iter().for_each(told);
         self.dirty.push(c);
         match (ask_quota as u8 + ask_lease as u8, self.reqs.at_mut(slot)) {
             (0, _) | (_, None) => self.admit(slot),
--- a/src/line.rs
+++ b/src/line.rs
@@ -12,8 +12,7 @@
         self.line.join(2 * c + (zones != u64::MAX) as usize, slot);
     }
 
-    /// Weighted deficit round robin over customers (DESIGN). The limit is held on average, by one place at
-    /// the most: else reqs wait at the one place of a gateway while the others' stand free.
+    /// Weighted deficit round robin over customers (DESIGN). The limit is held on average, by one place.
     pub(crate) fn pump(&mut self) {
         let mut passed_over = 0;
         while let Some((lane, slot)) = self.line.head() {
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -7,8 +7,7 @@
         self.decide();
         self.forget(30.0);
         self.srvs.squeeze.iter_mut().for_each(|s| *s = (*s * 1.2).min(1.0));
-        // Sends a second that a cold srv may get from here: half the rule's budget over what warm srvs
-        // answer, which is within their capacity. Own answers count only, so all gateways' parts add up
+        // Sends a second to a cold srv from here: half the rule's budget over what warm srvs answer here
         let warm: Vec<usize> = self.srvs.open().filter(|&i| self.warmth(i) >= 1.0).collect();
         let each = warm.iter().map(|&i| self.srvs.passed[i] / 4.0).sum::<f64>() / warm.len().max(1) as f64;
         for i in 0..self.srvs.ready.len() {
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -106,6 +106,50 @@
     pub dropped: bool,
 }
 
+/// What the decision to send a request of a customer with a quota rested on.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum Basis {
+    /// There was no quota to decide on.
+    #[default]
+    Unlimited,
+    /// A total that was read before it, of a store that was met before.
+    Total,
+    /// The first total that was read of its customer.
+    FirstTotal,
+    /// The own part of the last total: the answer to its call is not waited for.
+    Ahead,
+    /// The own reckoning, as its call was not answered.
+    Unanswered,
+    /// The own reckoning: the counter was not asked.
+    Unasked,
+}
+
+impl Basis {
+    /// How many there are.
+    pub const ALL: usize = 6;
+    /// Their names, in the order of the variants.
+    pub const NAMES: [&str; Basis::ALL] =
+        ["unlimited", "total", "first_total", "ahead", "unanswered", "unasked"];
+
+    /// Of a request on its arrival, before any answer.
+    pub fn arrived(rated: bool, ahead: bool) -> Basis {
+        match (rated, ahead) {
+            (false, _) => Basis::Unlimited,
+            (true, true) => Basis::Ahead,
+            (true, false) => Basis::Unasked,
+        }
+    }
+
+    /// Of one whose call to the counter has ended.
+    pub fn counted(answered: bool, first: bool) -> Basis {
+        match (answered, first) {
+            (false, _) => Basis::Unanswered,
+            (true, true) => Basis::FirstTotal,
+            (true, false) => Basis::Total,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 pub struct Req {
     pub id: u64,
@@ -122,6 +166,7 @@
     pub stage: Stage,
     /// Counter answers still owed.
     pub verdicts: u8,
+    pub basis: Basis,
     pub begun: bool,
     pub tries: Vec<Try>,
     /// The final answer that it is to get, or got.
@@ -495,6 +540,8 @@
     pub(crate) out: u32,
     /// The same, averaged over the last two seconds.
     pub(crate) used: f64,
+    /// Requests sent, by what their admission rested on.
+    pub(crate) admissions: [u64; Basis::ALL],
     /// The most that were out in this second.
     pub(crate) peak: f64,
     pub(crate) line: Line,
@@ -524,6 +571,10 @@
 }
 
 impl Control {
+    /// How many requests were sent, by what their admission rested on ([`Basis::NAMES`]).
+    pub fn admissions(&self) -> [u64; Basis::ALL] {
+        self.admissions
+    }
     pub fn terms(&self) -> &Terms {
         &self.terms
     }
