--- a/apiary/src/counts.rs
+++ b/apiary/src/counts.rs
@@ -48,6 +48,7 @@
     }
 
     fn answer(&mut self, epoch: u64, Answer { from, tag, totals }: Answer, out: &mut Out) {
+        let totals: Vec<f64> = totals.into_iter().map(|total| total.counted).collect();
         for (name, total) in NAMES.into_iter().zip(&totals) {
             out.push(Order::Tell(Told::Total { epoch, name, total: *total }));
         }
--- a/apiary/src/edge.rs
+++ b/apiary/src/edge.rs
@@ -5,6 +5,7 @@
 use crate::world::{Begin, Order};
 use crate::{Flaw, Node};
 use lupinledge_nectar::own::Own;
+use lupinledge_nectar::Total;
 use lupinledge_propolis::Document;
 use lupinledge_queen::{Ballot, Kept};
 use lupinledge_waggle::{News, Said, Spread};
@@ -132,7 +133,7 @@
                     self.tell(now, out);
                 }
             }
-            Say::Counted { tag, epoch, totals } => self.counted(from, tag, epoch, &totals, out),
+            Say::Counted { tag, epoch, totals } => self.counted(now, (from, tag), epoch, &totals, out),
             Say::ClockIs => self.clock = true,
             _ => {}
         }
@@ -198,13 +199,13 @@
         out.push(Order::Send(to, Say::Count { tag, incarnation, calls }));
     }
 
-    fn counted(&mut self, from: Node, tag: u64, epoch: u64, totals: &[f64], out: &mut Out) {
+    fn counted(&mut self, now: f64, (from, tag): (Node, u64), epoch: u64, totals: &[f64], out: &mut Out) {
         let Some(at) = self.calls.iter().position(|call| call.tag == tag && call.to == from) else { return };
         let Some(call) = self.calls.remove(at) else { return };
         if totals.len() == NAMES.len() {
             let totals: Vec<(u64, f64)> = NAMES.into_iter().zip(totals.iter().copied()).collect();
             for ((name, total), sum) in totals.iter().zip(&call.sums) {
-                self.own.total(*name, *sum, *total);
+                self.own.total(now, *name, *sum, Total { counted: *total, level: None });
             }
             out.push(Order::Tell(Told::Counted { epoch, totals }));
         }
--- a/benchlink/src/wire.rs
+++ b/benchlink/src/wire.rs
@@ -217,7 +217,7 @@
             let total = r.f32()?;
             r.f64()?;
             let name = r.u64()?;
-            Event::Counted { name, total, how: r.outcome()? }
+            Event::Counted { name, total, level: None, how: r.outcome()? }
         }
     }))
 }
--- a/comb/src/exchange.rs
+++ b/comb/src/exchange.rs
@@ -423,10 +423,11 @@
         self.control.borrow().admissions()
     }
 
-    /// The end of a counter's call, from the counter side: with `Passed` the name's new total.
-    pub fn counted(&self, name: u64, total: f64, how: Outcome) {
+    /// The end of a counter's call, from the counter side: with `Passed` the name's new total, and what is left of the
+    /// customer's quota where the counter keeps that.
+    pub fn counted(&self, name: u64, total: f64, level: Option<f64>, how: Outcome) {
         self.counters.counter_call.up(how);
-        self.tell(Event::Counted { name, total, how });
+        self.tell(Event::Counted { name, total, level, how });
     }
 
     /// News of the list, from discovery.
@@ -512,7 +513,7 @@
                     self.counters.counter_calls.up();
                     match &*self.counter_side.borrow() {
                         Some(counter) => counter.add(name, amount, life),
-                        None => self.counted(name, 0.0, Outcome::NoConnection),
+                        None => self.counted(name, 0.0, None, Outcome::NoConnection),
                     }
                 }
                 // one timer, as the decisions keep one: a new one is always the earlier
--- a/forager/src/ledger.rs
+++ b/forager/src/ledger.rs
@@ -6,10 +6,11 @@
 use lupinledge::link::Outcome;
 use lupinledge::time::Span;
 use lupinledge_comb::exchange::{CounterSide, Exchange};
-use lupinledge_messaging::{epoch, parts, units, Node, Post, Word};
+use lupinledge_messaging::{epoch, parts, units, CountedName, Node, Post, ToldName, Word};
 use lupinledge_nectar::calls::Calls;
 use lupinledge_nectar::own::Own;
-use lupinledge_nectar::told::Part;
+use lupinledge_nectar::told::{Part, Told};
+use lupinledge_nectar::Total;
 use std::cell::{Cell, RefCell};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -29,6 +30,13 @@
     sum: f64,
 }
 
+/// What was told of a name, as it goes over the network.
+fn told_name(told: Told) -> ToldName {
+    let Told { name, sum, within, total, life, store } = told;
+    let store = store.map(|reading| (reading.level, reading.age as f32));
+    ToldName { name, sum, within, total, life: life as f32, store }
+}
+
 /// All calls of this process.
 pub struct Ledger {
     post: Rc<Post>,
@@ -76,7 +84,7 @@
     fn tell(&self) {
         let (incarnation, (epoch, holder)) = (self.incarnation, self.holder.get());
         for Part { nth, of, told } in Part::cut(self.own.borrow().told(self.now())) {
-            let told = told.into_iter().map(|t| (t.name, t.sum, t.within, t.total, t.life as f32)).collect();
+            let told = told.into_iter().map(told_name).collect();
             self.post.send(holder, &Word::Told { incarnation, told, epoch, part: (nth, of) });
         }
     }
@@ -91,16 +99,18 @@
     }
 
     /// Hands on the totals of a word; none: that process is not the holder, and nothing was added.
-    pub fn counted(&self, from: Node, tag: u64, round: u32, totals: &[i64]) {
+    pub fn counted(&self, from: Node, tag: u64, round: u32, totals: &[CountedName]) {
         let epoch = Some(epoch(round, from)).filter(|_| !totals.is_empty());
         let calls = self.waiting.borrow_mut().answered(from, tag, epoch);
         let Some(calls) = calls else { return };
         if totals.len() != calls.len() {
             return self.fail(calls, Outcome::Full);
         }
-        for (call, total) in calls.into_iter().zip(totals.iter().map(|t| units(*t))) {
-            self.own.borrow_mut().total(call.name, call.sum, total);
-            call.pool.upgrade().into_iter().for_each(|p| p.counted(call.name, total, Outcome::Passed));
+        for (call, CountedName(total, level)) in calls.into_iter().zip(totals) {
+            let total = Total { counted: units(*total), level: level.map(units) };
+            self.own.borrow_mut().total(self.now(), call.name, call.sum, total);
+            let pool = call.pool.upgrade().into_iter();
+            pool.for_each(|p| p.counted(call.name, total.counted, total.level, Outcome::Passed));
         }
     }
 
@@ -126,7 +136,7 @@
             let sum = self.own.borrow_mut().add(now, name, amount, f64::from(life));
             let Some(sum) = sum else {
                 // not counted: the pool keeps to its own part of that quota, as with a counter out of reach
-                pool.upgrade().into_iter().for_each(|p| p.counted(name, 0.0, Outcome::NoConnection));
+                pool.upgrade().into_iter().for_each(|p| p.counted(name, 0.0, None, Outcome::NoConnection));
                 continue;
             };
             words.push((name, parts(sum), life.ceil() as u16));
@@ -155,7 +165,7 @@
             if how != Outcome::TimedOut {
                 self.own.borrow_mut().undo(call.name, call.amount);
             }
-            call.pool.upgrade().into_iter().for_each(|p| p.counted(call.name, 0.0, how));
+            call.pool.upgrade().into_iter().for_each(|p| p.counted(call.name, 0.0, None, how));
         }
     }
 }
--- a/forager/src/terms.rs
+++ b/forager/src/terms.rs
@@ -100,9 +100,7 @@
     Plan {
         rate: t.rate,
         at_once: (t.rate * longest + t.burst).ceil() as u32 * (t.rate > 0.0) as u32,
-        // of a large one a fifth is kept for what gateways decide alone, without each other's last sends; a small
-        // one, whose clumps are few, is read with some room, far within what the rule leaves
-        burst: if t.rate > 0.0 { (0.8 * t.burst + 6.0).min(t.burst + 3.0) } else { 0.0 },
+        burst: t.store_size(),
         price: 1.0 / (1.0 + f64::from(t.priority)),
         // what is past the rule's slack costs the whole day
         overrun_cost: 9.0,
--- a/forager/tests/rules/hive.rs
+++ b/forager/tests/rules/hive.rs
@@ -3,7 +3,7 @@
 
 use lupinledge_gossip::{Gossip, Host, News};
 use lupinledge_messaging::list::{List, Row};
-use lupinledge_messaging::{encode, epoch, parts, round, units, Node, Word};
+use lupinledge_messaging::{encode, epoch, parts, round, units, CountedName, Node, Word};
 use lupinledge_propolis::{Document, Settings, Tables};
 use lupinledge_queen::Ballot;
 use lupinledge_waggle::{Card, Source};
@@ -75,7 +75,7 @@
             Word::Clock { sent } => Word::ClockIs { sent, hive: 1000.0 + self.gossip.now() },
             Word::Count { tag, calls, .. } => {
                 let mut sums = self.totals.borrow_mut();
-                let add = |(name, sum, _): (u64, i64, u16)| {
+                let mut add = |(name, sum, _): (u64, i64, u16)| {
                     let sum = units(sum);
                     let before = sums.insert(name, sum).unwrap_or(0.0);
                     if name & 1 == 1 {
@@ -84,11 +84,11 @@
                     self.counts.added.fetch_add((sum - before).max(0.0) as u64, Ordering::SeqCst);
                     parts(sum + self.counts.others.load(Ordering::SeqCst) as f64)
                 };
-                let totals = calls.into_iter().map(add).collect();
+                let totals = calls.into_iter().map(|call| CountedName(add(call), None)).collect();
                 let newest = sums.iter().rev().find(|(name, _)| *name & 1 == 1).map_or(0.0, |(_, sum)| *sum);
                 self.counts.leases.store(newest.round() as u64, Ordering::SeqCst);
                 let round = round(self.gossip.held(|h| h.epoch().0));
-                let past = |totals: Vec<i64>| vec![parts(1000.0); totals.len()];
+                let past = |totals: Vec<CountedName>| vec![CountedName(parts(1000.0), None); totals.len()];
                 match *self.counts.answers.lock().unwrap() {
                     Answers::Prompt => Word::Counted { tag, round, totals },
                     Answers::Withheld => {
@@ -107,7 +107,7 @@
                 }
             }
             Word::Told { told, .. } => {
-                let use_of = told.iter().filter(|t| t.0 & 1 == 0).map(|t| t.1).sum::<f64>();
+                let use_of = told.iter().filter(|t| t.name & 1 == 0).map(|t| t.sum).sum::<f64>();
                 return self.counts.told.store(use_of.round() as u64, Ordering::SeqCst);
             }
             _ => return,
--- a/gateway/src/protocol/counter.rs
+++ b/gateway/src/protocol/counter.rs
@@ -107,7 +107,7 @@
 
     fn told(&self, name: u64, total: f64, how: Outcome) {
         if let Some(exchange) = self.exchange.upgrade() {
-            exchange.counted(name, total, how);
+            exchange.counted(name, total, None, how);
         }
     }
 
--- a/hive/src/counts.rs
+++ b/hive/src/counts.rs
@@ -4,11 +4,12 @@
 use crate::agree::Agree;
 use crate::clock::Clock;
 use lupinledge_gossip::Gossip;
-use lupinledge_messaging::{parts, round, units, Post, Word};
+use lupinledge_messaging::{parts, round, units, CountedName, Post, ToldName, Word};
 use lupinledge_nectar::duty::{Answer, Duty, Look, Seen};
+use lupinledge_nectar::store::{Quota, Reading};
 use lupinledge_nectar::told::{Part, Told};
-use lupinledge_nectar::Incarnation;
-use lupinledge_propolis::Tables;
+use lupinledge_nectar::{Incarnation, Total};
+use lupinledge_propolis::{Tables, Tenant};
 use lupinledge_queen::Node;
 use lupinledge_waggle::{Member, Standing};
 use std::cell::{Cell, RefCell};
@@ -22,6 +23,11 @@
 /// While the counters are not whole, those that have not told are asked again so often.
 const ASK: Duration = Duration::from_millis(50);
 
+/// A total as it goes over the network.
+fn told_total(total: Total) -> CountedName {
+    CountedName(parts(total.counted), total.level.map(parts))
+}
+
 pub struct Counts {
     clock: Rc<Clock>,
     agree: Rc<Agree>,
@@ -69,7 +75,7 @@
             Look::Closed(answers, missing) => {
                 tracing::info!(event = "counters_whole", epoch, missing, waiting = answers.len());
                 for Answer { from, tag, totals } in answers {
-                    let totals = totals.into_iter().map(parts).collect();
+                    let totals = totals.into_iter().map(told_total).collect();
                     gossip.post().send(from.0, &Word::Counted { tag, round: round(epoch), totals });
                 }
             }
@@ -85,11 +91,12 @@
     }
 
     /// What a gateway told the holder before this one.
-    pub fn told(&self, from: Incarnation, to: u64, told: &[(u64, f64, f64, f64, f32)], (nth, of): (u8, u8)) {
+    pub fn told(&self, from: Incarnation, to: u64, told: &[ToldName], (nth, of): (u8, u8)) {
         let Some(epoch) = self.agree.leads().filter(|e| *e == to) else { return };
-        let told = told.iter().take(CALLS_MOST).map(|&(name, sum, within, total, life)| {
-            let life = f64::from(life);
-            Told { name, sum, within, total, life }
+        let told = told.iter().take(CALLS_MOST).map(|t| {
+            let store = t.store.map(|(level, age)| Reading { level, age: f64::from(age) });
+            let life = f64::from(t.life);
+            Told { name: t.name, sum: t.sum, within: t.within, total: t.total, life, store }
         });
         let part = Part { nth, of, told: told.collect() };
         self.hold(epoch);
@@ -105,7 +112,7 @@
         let calls = calls.iter().take(CALLS_MOST);
         let calls = calls.map(|(name, sum, life)| (*name, units(*sum), f64::from(*life)));
         if let Some(totals) = self.duty.borrow_mut().count(self.clock.now(), from, tag, calls) {
-            let totals = totals.into_iter().map(parts).collect();
+            let totals = totals.into_iter().map(told_total).collect();
             post.send(from.0, &Word::Counted { tag, round: round(epoch), totals });
         }
     }
@@ -120,7 +127,8 @@
         if let Some(agreed) = self.agree.agreed().filter(|a| self.rates.get() != Some(a.ballot)) {
             self.rates.set(Some(agreed.ballot));
             if let Ok(tables) = Tables::new(&agreed.document, &self.zones) {
-                tables.tenants().iter().for_each(|t| counters.quota(t.customer, t.rate));
+                let quota = |t: &Tenant| Quota { rate: t.rate, size: t.store_size() };
+                tables.tenants().iter().for_each(|t| counters.quota(t.customer, quota(t)));
             }
         }
     }
--- a/messaging/src/lib.rs
+++ b/messaging/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use counts::{Counts, KINDS};
 pub use post::Post;
-pub use word::{decode, encode, epoch, parts, round, units, Patched, Word};
+pub use word::{decode, encode, epoch, parts, round, units, CountedName, Patched, ToldName, Word};
 
 /// The id of a process: the IPv4 address of its machine as a number.
 pub type Node = lupinledge_waggle::Node;
--- a/messaging/src/word.rs
+++ b/messaging/src/word.rs
@@ -88,8 +88,7 @@
     Told {
         /// As in counts.
         incarnation: u32,
-        /// Of each name: the sum, what of it was in the last total, that total, and the name's life.
-        told: Vec<(u64, f64, f64, f64, f32)>,
+        told: Vec<ToldName>,
         /// Under which the new holder holds them: it takes nothing that was meant for another epoch.
         epoch: u64,
         /// Which part of what is told this is, and of how many.
@@ -102,8 +101,8 @@
         tag: u64,
         /// The upper half of the epoch under which they are counted; the lower one is the answering node.
         round: u32,
-        /// One a call ([`parts`]); empty: I am not the holder.
-        totals: Vec<i64>,
+        /// One a call; empty: I am not the holder.
+        totals: Vec<CountedName>,
     },
     /// What does your clock show?
     #[serde(rename = "k")]
@@ -121,6 +120,25 @@
     },
 }
 
+/// What a gateway had told of a name.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct ToldName {
+    pub name: u64,
+    pub sum: f64,
+    /// What of the sum was in the last total.
+    pub within: f64,
+    /// The last total.
+    pub total: f64,
+    /// Seconds that the name is kept.
+    pub life: f32,
+    /// What was left in the customer's store with that total, and how many seconds ago that was.
+    pub store: Option<(f64, f32)>,
+}
+
+/// What is answered of a name: its total and what is left in its customer's store ([`parts`]), if it has one.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CountedName(pub i64, pub Option<i64>);
+
 /// The round of an epoch, see [`Word::Counted`].
 pub fn round(epoch: u64) -> u32 {
     (epoch >> 32) as u32
--- a/messaging/tests/post.rs
+++ b/messaging/tests/post.rs
@@ -1,6 +1,6 @@
 //! Posts over the loopback network, each at an address of its own.
 
-use lupinledge_messaging::{Node, Post, Word};
+use lupinledge_messaging::{CountedName, Node, Post, Word};
 use std::cell::RefCell;
 use std::io::Write;
 use std::net::{Ipv4Addr, TcpListener, TcpStream, UdpSocket};
@@ -90,7 +90,7 @@
         until(|| heard_a.borrow().len() == 2 && heard_b.borrow().len() == 1).await;
         assert_eq!(sents(&heard_a, node(1)), [2.0, 3.0]);
         assert_eq!(sents(&heard_b, node(1)), [1.0]);
-        a.cast(node(2), &Word::Counted { tag: 1, round: 1, totals: vec![1 << 40; 200] });
+        a.cast(node(2), &Word::Counted { tag: 1, round: 1, totals: vec![CountedName(1 << 40, None); 200] });
         assert_eq!(a.counts().dropped.get(), 1);
         // from another port, or nothing that can be read
         UdpSocket::bind((ip(3), 0)).unwrap().send_to(b"hello", (ip(2), port)).unwrap();
@@ -159,8 +159,8 @@
     run(async {
         let port = port();
         let ((a, _), (b, heard_b)) = (open(1, port), open(2, port));
-        let large = Word::Counted { tag: 7, round: 1, totals: vec![1 << 40; 300_000] };
-        let too_large = Word::Counted { tag: 8, round: 1, totals: vec![1 << 40; 500_000] };
+        let large = Word::Counted { tag: 7, round: 1, totals: vec![CountedName(1 << 40, None); 240_000] };
+        let too_large = Word::Counted { tag: 8, round: 1, totals: vec![CountedName(1 << 40, None); 500_000] };
         (0..5).for_each(|_| a.send(node(2), &large));
         // a fourth one of them is beyond 8 MB
         assert_eq!(a.counts().dropped.get(), 2);
@@ -168,7 +168,7 @@
         assert_eq!(a.counts().dropped.get(), 3);
         until(|| heard_b.borrow().len() >= 2).await;
         assert!(
-            matches!(&heard_b.borrow()[0].1, Word::Counted { tag: 7, totals, .. } if totals.len() == 300_000)
+            matches!(&heard_b.borrow()[0].1, Word::Counted { tag: 7, totals, .. } if totals.len() == 240_000)
         );
         until(|| a.pending() == 0).await;
         (0..300).for_each(|i| a.send(node(2), &clock(f64::from(i))));
--- a/messaging/tests/words.rs
+++ b/messaging/tests/words.rs
@@ -1,7 +1,7 @@
 //! Words as bytes: back and forth, and from any bytes.
 
 use lupinledge_messaging::list::{List, Row};
-use lupinledge_messaging::{clock::Estimate, decode, encode, parts, Patched, Word};
+use lupinledge_messaging::{clock::Estimate, decode, encode, parts, CountedName, Patched, ToldName, Word};
 use lupinledge_waggle::{Body, Card, Digest, Packet, Patch, Rumour, Standing};
 
 fn bytes(word: &Word) -> Vec<u8> {
@@ -70,6 +70,10 @@
     }
 }
 
+fn name(store: Option<(f64, f32)>) -> ToldName {
+    ToldName { name: 5, sum: 2.0, within: 1.0, total: 7.0, life: 8.0, store }
+}
+
 #[test]
 fn back_and_forth() {
     let words = [
@@ -87,8 +91,9 @@
         },
         Word::Count { tag: 1, incarnation: 9, calls: vec![(5, 16, 8)] },
         Word::Hold { epoch: 4 },
-        Word::Told { incarnation: 9, told: vec![(5, 2.0, 1.0, 7.0, 8.0)], epoch: 4, part: (0, 1) },
+        Word::Told { incarnation: 9, told: vec![name(None), name(Some((2.0, 0.5)))], epoch: 4, part: (0, 1) },
         Word::Counted { tag: 1, round: 3, totals: vec![] },
+        Word::Counted { tag: 1, round: 3, totals: vec![CountedName(5, None), CountedName(5, Some(-3))] },
         Word::ClockIs { sent: 1.0, hive: 2.0 },
     ];
     for word in words {
@@ -194,7 +199,7 @@
     let told = bytes(&Word::Counted {
         tag: 50_000 << 16 | 9000,
         round: 1,
-        totals: vec![parts(4000.0), parts(90.0)],
+        totals: vec![CountedName(parts(4000.0), Some(parts(12.0))), CountedName(parts(90.0), None)],
     })
     .len();
     assert!(asked <= 45 && told <= 24, "{asked}, {told}");
--- a/nectar/src/duty.rs
+++ b/nectar/src/duty.rs
@@ -4,7 +4,7 @@
 use crate::calls::before;
 use crate::silence::NODES_MOST;
 use crate::told::Part;
-use crate::{Counters, Incarnation, Node};
+use crate::{Counters, Incarnation, Node, Total};
 use std::collections::HashMap;
 
 /// A process that just started knows nobody: it waits so long for gateways to show, seconds.
@@ -35,7 +35,7 @@
 pub struct Answer {
     pub from: Incarnation,
     pub tag: u64,
-    pub totals: Vec<f64>,
+    pub totals: Vec<Total>,
 }
 
 /// What is to be done after a look at the counters.
@@ -116,7 +116,7 @@
         }
         counters.close(now, &edges);
         let answers = std::mem::take(waiting).into_iter().map(|(from, tag, names)| {
-            let totals = names.into_iter().map(|name| counters.total(name)).collect();
+            let totals = names.into_iter().map(|name| counters.answer(name)).collect();
             Answer { from, tag, totals }
         });
         Look::Closed(answers.collect(), edges.len())
@@ -139,17 +139,16 @@
         from: Incarnation,
         tag: u64,
         calls: impl Iterator<Item = (u64, f64, f64)>,
-    ) -> Option<Vec<f64>> {
+    ) -> Option<Vec<Total>> {
         let held = self.held.as_mut()?;
         let (whole, overtaken) = (held.counters.whole(), held.overtaken(now, from, tag));
         let (mut names, mut totals) = (Vec::new(), Vec::new());
         for (name, sum, life) in calls {
-            let total = match overtaken {
-                true => held.counters.total(name),
-                false => held.counters.put(now, from, name, sum, life),
-            };
+            if !overtaken {
+                held.counters.put(now, from, name, sum, life);
+            }
             match whole {
-                true => totals.push(total),
+                true => totals.push(held.counters.answer(name)),
                 false => names.push(name),
             }
         }
--- a/nectar/src/lib.rs
+++ b/nectar/src/lib.rs
@@ -13,10 +13,12 @@
 pub mod duty;
 pub mod own;
 pub mod silence;
+pub mod store;
 pub mod told;
 
 use silence::Silence;
 use std::collections::{BTreeMap, HashMap};
+use store::{Quota, Stores};
 use told::Gathering;
 
 /// A machine among the system's own: its address as a number.
@@ -31,6 +33,15 @@
 /// Seconds between two clearings of what has expired; an expired name counts as new before it is cleared too.
 const CLEAR: f64 = 1.0;
 
+/// What a gateway is answered of a name.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Total {
+    /// All that is counted.
+    pub counted: f64,
+    /// What is left in the customer's store, see [`Counters::level`].
+    pub level: Option<f64>,
+}
+
 /// Totals by name under one epoch of the duty.
 #[derive(Clone, Debug)]
 pub struct Counters {
@@ -38,6 +49,7 @@
     now: f64,
     names: HashMap<u64, Name>,
     silence: Silence,
+    stores: Stores,
     clear_at: f64,
     gathering: Gathering,
 }
@@ -81,6 +93,7 @@
             now: f64::NEG_INFINITY,
             names: HashMap::new(),
             silence,
+            stores: Stores::default(),
             clear_at: f64::NEG_INFINITY,
             gathering: Gathering::default(),
         }
@@ -101,16 +114,43 @@
         self.names.is_empty()
     }
 
-    /// Sets the quota of a customer: `rate` requests a second, 0 for none (and for one that is gone). Without
-    /// a quota nothing is presumed.
-    pub fn quota(&mut self, customer: u64, rate: f64) {
-        self.silence.quota(customer, rate);
+    /// Sets the quota of a customer; a rate of 0 for none (and for one that is gone). Without a quota nothing is
+    /// presumed, and there is no store.
+    pub fn quota(&mut self, customer: u64, quota: Quota) {
+        self.silence.quota(customer, quota.rate);
+        let presumed = self.silence.presumed_of(self.now, customer);
+        self.stores.quota(self.now, customer, quota, presumed);
+    }
+
+    /// What is left in the store of a name's customer, units; none for a name of what is in flight, and without a
+    /// quota. Below zero it is overdrawn.
+    pub fn level(&mut self, name: u64) -> Option<f64> {
+        let customer = customer(name);
+        let presumed = self.silence.presumed_of(self.now, customer);
+        let store = self.stores.of(customer).filter(|_| of_use(name))?;
+        Some(store.level(self.now, presumed))
     }
 
     /// Takes note of the sum of all that a gateway's process ever added to the name; the name expires `life` seconds
     /// after its last use. Returns the total with it, with what silent gateways are presumed to have used since they
     /// were heard last. A sum that is no number changes nothing.
     pub fn put(&mut self, now: f64, from: Incarnation, name: u64, sum: f64, life: f64) -> f64 {
+        let more = self.add(now, from, name, sum, life);
+        self.take(from.0, name, more);
+        self.total(name)
+    }
+
+    /// Takes an amount that came to a name's total out of its customer's store.
+    fn take(&mut self, node: Node, name: u64, amount: f64) {
+        let customer = customer(name);
+        let presumed = self.silence.presumed_of(self.now, customer);
+        if let Some(store) = self.stores.of(customer).filter(|_| of_use(name)) {
+            store.take(self.now, presumed, node, amount);
+        }
+    }
+
+    /// Takes note of a sum; returns what it added to the total.
+    fn add(&mut self, now: f64, from: Incarnation, name: u64, sum: f64, life: f64) -> f64 {
         self.heard(now, from.0);
         let now = self.now;
         if self.names.len() >= NAMES_MOST && !self.names.contains_key(&name) {
@@ -130,7 +170,12 @@
         if of_use(name) {
             self.silence.used(now, from.0, customer(name), more);
         }
-        self.total(name)
+        more
+    }
+
+    /// What a gateway is answered of a name, as of the last call.
+    pub fn answer(&mut self, name: u64) -> Total {
+        Total { counted: self.total(name), level: self.level(name) }
     }
 
     /// The total of a name as of the last call; 0 if there is none.
@@ -149,7 +194,11 @@
     /// Takes note of any word from a gateway, not a count alone: one without requests is not silent.
     pub fn heard(&mut self, now: f64, from: Node) {
         self.tick(now);
-        self.silence.heard(self.now, from);
+        for (customer, presumed) in self.silence.heard(self.now, from) {
+            if let Some(store) = self.stores.of(customer) {
+                store.returned(from, presumed);
+            }
+        }
     }
 
     /// A gateway that is gone for good or leaves: what it was presumed to use is dropped.
--- a/nectar/src/own.rs
+++ b/nectar/src/own.rs
@@ -1,6 +1,8 @@
 //! A gateway's side of the counters: the sums of what it added to each name, told whole at each call.
 
+use crate::store::Reading;
 use crate::told::Told;
+use crate::Total;
 use std::collections::HashMap;
 
 /// Most names kept: a customer's windows of use, now and before, for 18,000 customers, and what is in flight beside.
@@ -22,6 +24,8 @@
 struct Sum {
     told: Told,
     until: f64,
+    /// What was left in the customer's store with the last total, and when that came.
+    store: Option<(f64, f64)>,
 }
 
 impl Own {
@@ -35,7 +39,8 @@
         if self.names.len() >= NAMES_MOST && !self.names.contains_key(&name) {
             return None;
         }
-        let none = Sum { told: Told { name, sum: 0.0, within: 0.0, total: 0.0, life }, until: now };
+        let told = Told { name, sum: 0.0, within: 0.0, total: 0.0, life, store: None };
+        let none = Sum { told, until: now, store: None };
         let s = self.names.entry(name).or_insert(none);
         s.told.sum += amount;
         (s.told.life, s.until) = (life, now + life);
@@ -49,10 +54,11 @@
         }
     }
 
-    /// A total with the sum that was told for it.
-    pub fn total(&mut self, name: u64, within: f64, total: f64) {
+    /// A total that came now, with the sum that was told for it.
+    pub fn total(&mut self, now: f64, name: u64, within: f64, total: Total) {
         if let Some(s) = self.names.get_mut(&name) {
-            (s.told.within, s.told.total) = (within, total);
+            (s.told.within, s.told.total) = (within, total.counted);
+            s.store = total.level.map(|level| (level, now));
         }
     }
 
@@ -60,7 +66,8 @@
     pub fn told(&self, now: f64) -> Vec<Told> {
         let live =
             self.names.values().filter(|s| s.until >= now && (s.told.sum != 0.0 || s.told.total != 0.0));
-        let mut told: Vec<Told> = live.map(|s| s.told).collect();
+        let reading = |s: &Sum| s.store.map(|(level, at)| Reading { level, age: now - at });
+        let mut told: Vec<Told> = live.map(|s| Told { store: reading(s), ..s.told }).collect();
         told.sort_unstable_by_key(|t| t.name);
         told
     }
--- a/nectar/src/silence.rs
+++ b/nectar/src/silence.rs
@@ -82,14 +82,15 @@
         }
     }
 
-    pub(crate) fn heard(&mut self, now: f64, node: Node) {
+    /// Takes note of a word; of one that was silent, what it was presumed to have used, by customer.
+    pub(crate) fn heard(&mut self, now: f64, node: Node) -> Vec<(u64, f64)> {
         let full = self.nodes.len() >= NODES_MOST;
         match self.nodes.get_mut(&node) {
             Some(heard) => {
                 let silent = std::mem::take(&mut heard.silent);
                 heard.at = now;
                 if silent {
-                    self.returned(now, node);
+                    return self.returned(now, node);
                 }
             }
             None if full => {}
@@ -98,18 +99,22 @@
                 self.nodes.insert(node, Heard { at: now, silent: false });
             }
         }
+        Vec::new()
     }
 
     /// Its own reports take the place of the presumption. Its use has not faded meanwhile.
-    fn returned(&mut self, now: f64, node: Node) {
+    fn returned(&mut self, now: f64, node: Node) -> Vec<(u64, f64)> {
         self.look_at = self.look_at.min(now + SILENT);
-        for c in self.customers.values_mut() {
-            let before = c.silent.len();
-            c.silent.retain(|s| s.node != node);
-            if let Some(u) = c.users.get_mut(&node).filter(|_| c.silent.len() < before) {
+        let mut presumed = Vec::new();
+        for (customer, c) in &mut self.customers {
+            let Some(at) = c.silent.iter().position(|s| s.node == node) else { continue };
+            let silent = c.silent.remove(at);
+            presumed.push((*customer, c.rate * silent.part * (now - silent.since).max(0.0)));
+            if let Some(u) = c.users.get_mut(&node) {
                 u.at = now;
             }
         }
+        presumed
     }
 
     pub(crate) fn used(&mut self, now: f64, node: Node, customer: u64, amount: f64) {
@@ -131,6 +136,11 @@
         c.rate * spans.sum::<f64>()
     }
 
+    /// Units presumed of a customer's use, of all names.
+    pub(crate) fn presumed_of(&self, now: f64, customer: u64) -> f64 {
+        self.presumed(now, customer, f64::NEG_INFINITY)
+    }
+
     pub(crate) fn forget(&mut self, node: Node) {
         if self.nodes.remove(&node).is_none() {
             return;
--- a/nectar/src/told.rs
+++ b/nectar/src/told.rs
@@ -5,7 +5,9 @@
 //! lost, and those that are known to be there somewhere are presumed to go on with that part ([`crate::silence`]).
 
 use crate::silence::NODES_MOST;
+use crate::store::Reading;
 use crate::{customer, of_use, Counters, Incarnation, Node};
+use std::cmp::Ordering;
 use std::collections::{BTreeSet, HashMap};
 
 /// What one gateway tells of one name.
@@ -20,6 +22,8 @@
     pub total: f64,
     /// Seconds that the name is kept after its last use.
     pub life: f64,
+    /// What was left in the customer's store with that total, if it was told.
+    pub store: Option<Reading>,
 }
 
 /// What one gateway tells comes in parts where it is more than this many names: a message then holds some ten kilobytes.
@@ -70,6 +74,8 @@
     partly: HashMap<Node, Heard>,
     /// By name of use, until the counters are whole.
     before: HashMap<u64, Before>,
+    /// By customer, the newest reading of its store that was told, until the counters are whole.
+    readings: HashMap<u64, Read>,
     whole: bool,
 }
 
@@ -81,7 +87,28 @@
     most: f64,
 }
 
+/// When a gateway read a store, what it read, and of which name with what total.
+#[derive(Clone, Copy, Debug)]
+struct Read {
+    at: f64,
+    level: f64,
+    name: u64,
+    total: f64,
+}
+
 impl Gathering {
+    /// Takes a reading of a store, where it is newer than those before.
+    fn read(&mut self, now: f64, told: &Told) {
+        let Some(Reading { level, age }) = told.store.filter(|r| r.level.is_finite() && r.age >= 0.0) else {
+            return;
+        };
+        let read = Read { at: now - age, level, name: told.name, total: told.total };
+        let newest = self.readings.entry(customer(told.name)).or_insert(read);
+        if read.at > newest.at {
+            *newest = read;
+        }
+    }
+
     /// Notes that the gateway told this part; whether it did so for the first time. One that cuts what it tells into
     /// another number of parts than before begins anew, and what was within its totals is not taken again.
     fn first(&mut self, node: Node, part: &Part) -> bool {
@@ -123,23 +150,31 @@
     /// What a gateway had told the holder before, from itself: to be heard ahead of its first sum. Of one that tells
     /// late, what was taken for lost is counted no more.
     pub fn tell(&mut self, now: f64, from: Incarnation, part: &Part) {
-        for t in &part.told {
-            self.put(now, from, t.name, t.sum, t.life);
-        }
         self.heard(now, from.0);
         let first = self.gathering.first(from.0, part);
-        let sound = |t: &&Told| first && of_use(t.name) && t.total.is_finite() && t.within.is_finite();
-        for t in part.told.iter().filter(sound) {
-            match (self.gathering.whole, self.names.get_mut(&t.name)) {
-                (true, Some(kept)) => {
-                    let found = t.within.clamp(0.0, kept.lost);
-                    (kept.lost, kept.total) = (kept.lost - found, kept.total - found);
-                }
-                _ => {
-                    let b = self.gathering.before.entry(t.name).or_default();
-                    (b.total, b.within, b.most) =
-                        (b.total.max(t.total), b.within + t.within, b.most.max(t.within));
-                }
+        let sound = |t: &Told| first && of_use(t.name) && t.total.is_finite() && t.within.is_finite();
+        for t in &part.told {
+            let more = self.add(now, from, t.name, t.sum, t.life);
+            let found = if sound(t) { self.found(t) } else { 0.0 };
+            self.take(from.0, t.name, more - found);
+        }
+    }
+
+    /// What of the lost part of a name's total is this gateway's, which tells it now: it is counted no more. Until the
+    /// counters are whole nothing is taken for lost yet.
+    fn found(&mut self, told: &Told) -> f64 {
+        match (self.gathering.whole, self.names.get_mut(&told.name)) {
+            (true, Some(kept)) => {
+                let found = told.within.clamp(0.0, kept.lost);
+                (kept.lost, kept.total) = (kept.lost - found, kept.total - found);
+                found
+            }
+            _ => {
+                let b = self.gathering.before.entry(told.name).or_default();
+                (b.total, b.within, b.most) =
+                    (b.total.max(told.total), b.within + told.within, b.most.max(told.within));
+                self.gathering.read(self.now, told);
+                0.0
             }
         }
     }
@@ -151,7 +186,8 @@
             return;
         }
         let missing: Vec<Node> = missing.iter().copied().filter(|n| !self.told(*n)).collect();
-        missing.iter().for_each(|&n| self.silence.heard(self.now, n));
+        let now = self.now;
+        missing.iter().for_each(|node| self.heard(now, *node));
         for (name, b) in std::mem::take(&mut self.gathering.before) {
             let lost = (b.total - b.within).max(0.0);
             if let Some(kept) = self.names.get_mut(&name) {
@@ -162,5 +198,26 @@
             let each = (lost / missing.len().max(1) as f64).min(if b.most > 0.0 { b.most } else { lost });
             missing.iter().for_each(|&n| self.silence.used(self.now, n, customer(name), each));
         }
+        self.resume_stores();
+    }
+
+    /// The stores go on from the newest readings that were told. What was counted since is the use of the name that was
+    /// read beyond the total with it, and all use of later names.
+    fn resume_stores(&mut self) {
+        let (now, readings) = (self.now, std::mem::take(&mut self.gathering.readings));
+        let mut used: HashMap<u64, f64> = HashMap::new();
+        for (name, kept) in self.names.iter().filter(|(name, _)| of_use(**name)) {
+            let read = readings.get(&customer(*name));
+            let before = match read.map(|r| r.name.cmp(name)) {
+                Some(Ordering::Greater) => kept.total,
+                Some(Ordering::Equal) => read.map_or(0.0, |r| r.total),
+                _ => 0.0,
+            };
+            *used.entry(customer(*name)).or_default() += kept.total - before;
+        }
+        self.stores.resume(now, |customer| {
+            let reading = readings.get(&customer).map(|r| Reading { level: r.level, age: now - r.at });
+            (reading, used.get(&customer).copied().unwrap_or(0.0))
+        });
     }
 }
--- a/nectar/tests/parts.rs
+++ b/nectar/tests/parts.rs
@@ -3,7 +3,7 @@
 
 use lupinledge_nectar::own::Own;
 use lupinledge_nectar::told::{Part, PART_MOST};
-use lupinledge_nectar::{Counters, Node};
+use lupinledge_nectar::{Counters, Node, Total};
 
 const TENANTS: u64 = 18_000;
 const GATEWAYS: Node = 3;
@@ -25,7 +25,7 @@
         for gateway in &mut own {
             total += 1.0;
             let sum = gateway.add(1.0, name, 1.0, LIFE).expect("there is room");
-            gateway.total(name, sum, total);
+            gateway.total(1.0, name, sum, Total { counted: total, level: None });
         }
     }
     own
--- a/propolis/src/tables.rs
+++ b/propolis/src/tables.rs
@@ -67,6 +67,17 @@
     pub homes: Vec<String>,
 }
 
+impl Tenant {
+    /// How much its quota leaves at once. Of a large burst a fifth is kept for what gateways decide alone, without each
+    /// other's last sends; a small one, whose clumps are few, is read with some room, far within what the rule leaves.
+    pub fn store_size(&self) -> f64 {
+        match self.rate > 0.0 {
+            true => (0.8 * self.burst + 6.0).min(self.burst + 3.0),
+            false => 0.0,
+        }
+    }
+}
+
 /// A service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/src/control.rs
+++ b/src/control.rs
@@ -36,10 +36,15 @@
                 Event::Begun { id, .. } => self.reqs.of(id).into_iter().for_each(|(_, r)| r.begun = true),
                 Event::Ended(e, _) => self.ended(e),
                 Event::Left { id } => self.close(id),
-                Event::Counted { name, total, how } => self.counted(name, total, how),
+                Event::Counted { name, total, level, how } => {
+                    self.counted(name, Reading { total, level }, how)
+                }
                 Event::Timer { .. } => self.armed = None,
                 Event::Peer { body, .. } => self.heard(&body),
-                Event::Terms(terms) => self.change(*terms),
+                Event::Terms(terms) => {
+                    self.limit *= self.terms.gateways.max(1) as f64 / terms.gateways.max(1) as f64;
+                    self.follow(*terms);
+                }
                 Event::Probed { .. } => {}
             }
         }
@@ -49,7 +54,7 @@
             self.second_at = Point::from_secs((now.secs() + LEAD).floor() + 1.0 - LEAD + 0.001);
         }
         if now.secs() % ROLL > ROLL - LEAD {
-            self.dirty.extend((0..self.customers.len()).filter(|&c| self.customers[c].leased > 1e-6));
+            self.refresh();
         }
         while let Some((_, slot)) = self.wakes.first(&self.reqs).filter(|w| w.0 <= now) {
             self.wakes.pop(); // those of reqs that are gone set no timer: they would be most of all wakeups
@@ -59,23 +64,6 @@
         self.settle(acts);
     }
 
-    /// Frontends and plans not met before get first guesses; what is known of the others stays.
-    fn change(&mut self, terms: Terms) {
-        self.limit *= self.terms.gateways.max(1) as f64 / terms.gateways.max(1) as f64;
-        let fresh = Control::new(terms);
-        let target = |t: &Terms, f: usize| t.frontends.get(f).map(|f| f.target);
-        for f in (0..fresh.usual.len()).filter(|&f| target(&self.terms, f) != target(&fresh.terms, f)) {
-            put_at(&mut self.usual, f, fresh.usual[f]);
-            put_at(&mut self.tail, f, fresh.tail[f]);
-            put_at(&mut self.first_left, f, Default::default());
-            put_at(&mut self.samples, f, Vec::new());
-            put_at(&mut self.full_frontend, f, 0.2);
-        }
-        self.full_plan.resize(fresh.full_plan.len(), 0.2);
-        self.srvs.widen(fresh.terms.plans.len());
-        self.terms = fresh.terms;
-    }
-
     /// The one place that acts: compares what is wanted with what is there and emits the difference.
     fn settle(&mut self, acts: &mut Vec<Action>) {
         acts.extend(std::mem::take(&mut self.asks).then_some(Action::Watch { on: true }));
--- a/src/count.rs
+++ b/src/count.rs
@@ -7,7 +7,7 @@
 const SHARE_MEMORY: f64 = 8.0; // seconds of own and total use: the spread of a customer moves within some
 
 impl Control {
-    pub(crate) fn counted(&mut self, name: u64, total: f64, how: Outcome) {
+    pub(crate) fn counted(&mut self, name: u64, read: Reading, how: Outcome) {
         let Some(call) = self.calls.take(name) else { return };
         let (c, answered) = (call.customer, how == Outcome::Passed);
         let first = self.customers[c].quota.seen.is_none();
@@ -19,12 +19,16 @@
         let sign = !heard && self.misses < 6 && self.now.since(self.missed) > self.terms.count_wait.secs();
         let miss = (1.0 / (0.3 + self.answers)).max(0.1) * (1.0 - self.crowd) * sign as u8 as f64;
         self.missed = if sign { self.now } else { self.missed };
-        self.crowd = (self.crowd + if answered { -0.002 } else { miss }).max(0.0);
+        let eased = if read.level.is_some() { 0.5 * self.crowd } else { 0.002 };
+        self.crowd = (self.crowd + if answered { -eased } else { miss }).max(0.0);
         self.misses = if heard { 0 } else { self.misses + 1 };
-        self.silent = self.misses >= 3; // one or two in a row happen on a crowded counter
+        // one or two in a row happen on a crowded counter; behind a silence all that is owed is told
+        if std::mem::replace(&mut self.silent, self.misses >= 3) && answered {
+            self.refresh();
+        }
         let added = answered || matches!(how, Outcome::TimedOut | Outcome::Reset);
         let reading = if call.lease { Self::lease_counted } else { Self::quota_counted };
-        let mut over = reading(self, &call, total, answered, added);
+        let mut over = reading(self, &call, read, answered, added);
         if answered {
             self.steer(c, call.lease, over - call.joins.iter().map(|j| j.2).sum::<f64>());
         }
@@ -37,11 +41,8 @@
             let fits = match (answered, call.lease) {
                 (true, _) => over <= weight - own + 1e-3,
                 (_, true) => self.lease_alone(c, self.customers[c].held),
-                _ => self.room(c) >= 0.0,
+                _ => self.alone(c, own, own),
             };
-            // the own use is off `run` already; what the others use meanwhile goes off too
-            let others = if answered || call.lease || !fits { 0.0 } else { own / self.share(c) - own };
-            self.customers[c].run -= others;
             over -= if fits { 0.0 } else { weight };
             match (fits, left) {
                 (false, _) => self.end(slot),
@@ -53,8 +54,8 @@
 
     /// Reads the store out of a total; returns by how much it is overdrawn. What a full store lost of its
     /// fill is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
-    fn quota_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
-        let (own, part) = (self.room(call.customer), self.share(call.customer));
+    fn quota_counted(&mut self, call: &Call, read: Reading, answered: bool, added: bool) -> f64 {
+        let (own, part, total) = (self.room(call.customer), self.share(call.customer), read.total);
         // what a far counter has not told yet: others send meanwhile as this gateway does, by its share
         let unseen = if self.slow > 0.02 { 1.0 / self.share(call.customer) - 1.0 } else { 0.0 };
         let cust = &mut self.customers[call.customer];
@@ -69,20 +70,19 @@
         }
         // a new name, or the counter came back empty: own memory of the store still counts
         let less = q.total - total + call.amount > (2.0 * self.terms.largest).max(0.5 * q.total);
-        let fell = less && call.epoch == q.epoch;
+        let fell = less && call.epoch == q.epoch && read.level.is_none();
         let first = q.seen.is_none();
         let delta = if call.epoch > q.epoch || first || fell { total } else { total - q.total };
-        let (of, at) = (self.terms.window(), cust.level_at);
-        let since = if first { self.now.secs() % of } else { self.now.since(at) };
+        let since = if first { self.now.secs() % self.terms.window() } else { self.now.since(cust.level_at) };
         (q.epoch, q.total, q.seen) = (call.epoch, total, Some(self.now));
         let all = cust.level + p.rate * since;
         let (least, most) = (all.min(p.burst) - delta, (all - delta + call.units).min(p.burst) - call.units);
-        // over more than the time in which the store fills, unsteady use evens out; but a store first met may
-        // have been emptied just now
+        // unsteady use evens out while the store fills; but one first met may have been emptied just now
         let even = if first { 1.0 } else { (-since * p.rate / p.burst.max(1e-3)).exp() };
         let least = if first { least.max(0.0).min(most) } else { least };
-        cust.level = most + (least - most) * even * p.overrun_cost / (1.0 + p.overrun_cost);
-        // an empty counter knows nothing of what went out meanwhile; behind a silence others used their parts
+        let reckoned = most + (least - most) * even * p.overrun_cost / (1.0 + p.overrun_cost);
+        // An empty counter knows nothing of what went out meanwhile; behind a silence others used their parts
+        cust.level = read.level.unwrap_or(reckoned);
         let known = (own - call.amount) * if silence && own > call.amount { part } else { 1.0 };
         cust.level = cust.level.min(if fell || silence { known } else { f64::MAX });
         (cust.level_at, cust.run_at) = (self.now, self.now);
@@ -95,7 +95,7 @@
     }
 
     /// Reads a total of leases; returns by how many it passes the cap.
-    fn lease_counted(&mut self, call: &Call, total: f64, answered: bool, added: bool) -> f64 {
+    fn lease_counted(&mut self, call: &Call, read: Reading, answered: bool, added: bool) -> f64 {
         let cust = &mut self.customers[call.customer];
         let (p, l) = (&self.terms.plans[cust.plan], &mut cust.lease);
         let put = if call.epoch == l.epoch { &mut l.put } else { &mut l.put_next };
@@ -103,12 +103,11 @@
         if !answered || call.epoch != l.epoch {
             return 0.0;
         }
-        blend(&mut l.others, (total - l.put).max(0.0), 0.2);
-        (total - p.at_once as f64).max(0.0)
+        blend(&mut l.others, (read.total - l.put).max(0.0), 0.2);
+        (read.total - p.at_once as f64).max(0.0)
     }
 
-    /// The part of a customer's reqs let through while the counter is crowded: cut past its quota or cap,
-    /// raised when much is left; peers are told.
+    /// The part of its reqs let through on a crowded counter: cut past quota or cap, raised if much is left.
     fn steer(&mut self, c: usize, lease: bool, over: f64) {
         let (now, cust) = (self.now, &mut self.customers[c]);
         let p = &self.terms.plans[cust.plan];
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -76,17 +76,21 @@
         let ahead = far && self.room(c) * self.share(c) >= n.units;
         let ask_lease = cap > 0.0 && asks && !(far && places * self.share(c) >= 1.0);
         let (ask_quota, no_units) = (rated && asks && !ahead, short && sure);
-        // what is told by chance stands for those not asked; in silence all is told later
-        let weight = if asks { 1.0 / keep } else { self.silent as u8 as f64 };
+        // what is told by chance stands for those not asked; in silence, or if overruns are dear, all is told
+        let exact = rated && p.overrun_cost > 1.0;
+        let weight = if exact || self.silent { 1.0 } else { asks as u8 as f64 / keep };
         let charge = rated as u8 as f64 * n.units * weight;
         let leased = (cap > 0.0) as u8 as f64 * weight.min((0.5 * cap).max(1.0));
-        if past || hopeless || !through || no_units || cap > 0.0 && no_lease || !self.ceiling(c, n.units) {
+        let doubt = exact && !asks;
+        self.dirty.extend(Some(c).filter(|_| doubt)); // for a trial, whatever comes of it
+        let kept = past || hopeless || !through || no_units || cap > 0.0 && no_lease;
+        if kept || !self.ceiling(c, n.units) || doubt && !self.alone(c, n.units, 0.0) {
             return self.end(slot);
         }
-        let share = if ask_quota { 1.0 } else { self.share(c) };
+        let units = if doubt { 0.0 } else { units / if ask_quota { 1.0 } else { self.share(c) } };
         let cust = &mut self.customers[c];
         cust.hold(1.0, leased);
-        (cust.run, cust.quota.owed) = (cust.run - n.units / share, cust.quota.owed + charge);
+        (cust.run, cust.quota.owed) = (cust.run - units, cust.quota.owed + charge);
         cust.quota.joins.extend(Some((slot, n.id, charge)).filter(|_| ask_quota));
         cust.quota.urgent |= ahead;
         cust.lease.joins.extend(Some((slot, n.id, leased)).filter(|_| ask_lease));
@@ -102,12 +106,8 @@
 
     /// The hard ceiling: each gateway's slice, empty at a start, since a killed predecessor may have used it.
     fn ceiling(&mut self, c: usize, units: f64) -> bool {
-        let cust = &mut self.customers[c];
-        let p = &self.terms.plans[cust.plan];
-        let slice = cust.slice(self.now, p.ceiling_rate, p.ceiling_burst);
-        let fits = p.ceiling_rate <= 0.0 || slice >= units;
-        cust.ceiling -= if fits { units } else { 0.0 };
-        fits
+        let p = &self.terms.plans[self.customers[c].plan];
+        p.ceiling_rate <= 0.0 || self.customers[c].take_slice(self.now, p, units)
     }
 
     /// The customer's store as far as is known here: the last totals, what filled, what went out here.
@@ -124,6 +124,19 @@
         alone * ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
     }
 
+    /// Whether units, `off` of which are off the store, fit into its own part with no answer to go by. Where
+    /// an overrun costs more than a req earns, a part less than whole is spent on a chance as large.
+    pub(crate) fn alone(&mut self, c: usize, units: f64, off: f64) -> bool {
+        let (room, share) = (self.room(c) + off, self.share(c));
+        let (whole, dear) = (units / share, self.terms.plans[self.customers[c].plan].overrun_cost > 1.0);
+        let chance = if dear { room / whole } else { (room >= units) as u8 as f64 };
+        let fits = chance >= 1.0 || chance > 0.0 && self.rng.f64() < chance;
+        // what the others use meanwhile goes off too
+        let spent = if dear { whole.min(room.max(0.0)) } else { whole * fits as u8 as f64 };
+        self.customers[c].run -= spent - if fits { off } else { 0.0 };
+        fits
+    }
+
     /// Without an answer: under the cap with what the others had lately. One each would pass it many times.
     pub(crate) fn lease_alone(&self, c: usize, held: f64) -> bool {
         held + self.customers[c].lease.others <= self.terms.plans[self.customers[c].plan].at_once as f64 + 0.5
--- a/src/link.rs
+++ b/src/link.rs
@@ -192,6 +192,8 @@
     Counted {
         name: u64,
         total: f64,
+        /// What is left of the customer's quota at once with that total, where the counter keeps it.
+        level: Option<f64>,
         how: Outcome,
     },
     /// Other terms from here on; frontends and plans keep their places, new ones come behind.
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -173,6 +173,14 @@
     pub end: Option<Action>,
 }
 
+/// What the counter answered of a name.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    pub total: f64,
+    /// What is left of the quota at once, where the counter keeps it.
+    pub level: Option<f64>,
+}
+
 /// A name on the counter as seen from here. Amounts not in an answered total are flying or owed.
 #[derive(Debug, Default)]
 pub struct Account {
@@ -260,6 +268,12 @@
         self.ceiling_at = now;
         self.ceiling
     }
+    /// Takes units out of that slice, if they fit.
+    pub fn take_slice(&mut self, now: Point, p: &Plan, units: f64) -> bool {
+        let fits = self.slice(now, p.ceiling_rate, p.ceiling_burst) >= units;
+        self.ceiling -= if fits { units } else { 0.0 };
+        fits
+    }
     /// Whether it is as one never met: nothing out, waited for or to be told, and its stores full.
     pub fn settled(&mut self, now: Point, p: &Plan) -> bool {
         let q = &self.quota;
@@ -579,6 +593,27 @@
         &self.terms
     }
 
+    /// Has the counter told of those that hold leases, or are to give back what they charged.
+    pub(crate) fn refresh(&mut self) {
+        let due = |cust: &Customer| cust.leased > 1e-6 || cust.quota.urgent;
+        self.dirty.extend((0..self.customers.len()).filter(|&c| due(&self.customers[c])));
+    }
+    /// Goes by other terms: frontends and plans not met before get the figures of a new instance; what is known of the
+    /// others stays.
+    pub(crate) fn follow(&mut self, terms: Terms) {
+        let fresh = Control::new(terms);
+        let target = |t: &Terms, f: usize| t.frontends.get(f).map(|f| f.target);
+        for f in (0..fresh.usual.len()).filter(|&f| target(&self.terms, f) != target(&fresh.terms, f)) {
+            put_at(&mut self.usual, f, fresh.usual[f]);
+            put_at(&mut self.tail, f, fresh.tail[f]);
+            put_at(&mut self.first_left, f, Default::default());
+            put_at(&mut self.samples, f, Vec::new());
+            put_at(&mut self.full_frontend, f, 0.2);
+        }
+        self.full_plan.resize(fresh.full_plan.len(), 0.2);
+        self.srvs.widen(fresh.terms.plans.len());
+        self.terms = fresh.terms;
+    }
     /// Most customers come once, and srvs are replaced for good: who was not here for so long and lacks nothing
     /// goes; so does a srv that takes nothing, once no open req has been there.
     pub(crate) fn forget(&mut self, after: f64) {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -7,8 +7,9 @@
 use lupinledge::time::{Point, Span};
 use lupinledge_nectar::duty::{Duty, Look, Seen};
 use lupinledge_nectar::own::Own;
+use lupinledge_nectar::store::Quota;
 use lupinledge_nectar::told::Part;
-use lupinledge_nectar::Node;
+use lupinledge_nectar::{Node, Total};
 use std::collections::BTreeMap;
 
 const CUSTOMER: u64 = 7;
@@ -53,6 +54,8 @@
     /// Requests come for so long, and then none for so long, milliseconds.
     pub spells: (u64, u64),
     pub kills: Vec<Kill>,
+    /// Nobody holds the counters then, from the begin of the play: from, until, milliseconds.
+    pub no_holder: Vec<(u64, u64)>,
 }
 
 /// Gateways that are killed at once, and start again, each at a time of its own.
@@ -101,7 +104,7 @@
             self.waiting.iter().filter(|(_, call)| call.1 <= now).map(|(tag, _)| *tag).collect();
         for tag in ended {
             let Some(((pool, name, _), _)) = self.waiting.remove(&tag) else { continue };
-            self.hears(pool, now, Event::Counted { name, total: 0.0, how: Outcome::TimedOut });
+            self.hears(pool, now, Event::Counted { name, total: 0.0, level: None, how: Outcome::TimedOut });
         }
     }
 
@@ -122,9 +125,10 @@
         self.end_calls(now);
     }
 
-    fn answered(&mut self, at: u64, (pool, name, sum): Call, total: f64) {
-        self.own.total(name, sum, total);
-        self.hears(pool, at, Event::Counted { name, total, how: Outcome::Passed });
+    fn answered(&mut self, at: u64, (pool, name, sum): Call, total: Total) {
+        self.own.total(at as f64 / 1e3, name, sum, total);
+        let Total { counted, level } = total;
+        self.hears(pool, at, Event::Counted { name, total: counted, level, how: Outcome::Passed });
     }
 }
 
@@ -134,6 +138,8 @@
     epoch: u64,
     look_at: u64,
     take_over: u64,
+    /// Until then nobody holds the counters.
+    away: u64,
 }
 
 impl Holder {
@@ -142,8 +148,9 @@
         let secs = now as f64 / 1e3;
         let Some(sum) = gateway.own.add(secs, name, amount, life) else { return };
         gateway.tag += 1;
-        let (link, from, tag) = (gateway.link.0, (gateway.node, gateway.incarnation), gateway.tag);
-        let late = Event::Counted { name, total: 0.0, how: Outcome::TimedOut };
+        let link = if now < self.away { Link::Cut } else { gateway.link.0 };
+        let (from, tag) = ((gateway.node, gateway.incarnation), gateway.tag);
+        let late = Event::Counted { name, total: 0.0, level: None, how: Outcome::TimedOut };
         if link == Link::Cut {
             return gateway.hears(pool, now + CALL_WAIT, late);
         }
@@ -286,20 +293,27 @@
         })
         .collect();
     let first = if weather.holders > 0 { BEGIN + 2_000 + rng.u64(..weather.holders) } else { u64::MAX };
-    let mut holder = Holder { duty: Duty::default(), epoch: 0, look_at: BEGIN, take_over: BEGIN };
+    let mut holder = Holder { duty: Duty::default(), epoch: 0, look_at: BEGIN, take_over: BEGIN, away: 0 };
     let (mut sends, mut next): (Vec<(usize, usize)>, u64) = (Vec::new(), 0);
     for now in BEGIN..BEGIN + SPAN {
         let secs = now as f64 / 1e3;
+        for (_, until) in weather.no_holder.iter().filter(|(from, _)| BEGIN + from == now) {
+            (holder.away, holder.take_over) = (BEGIN + until, BEGIN + until);
+            gateways.iter_mut().for_each(|g| g.end_all(now));
+        }
         if now >= holder.take_over {
-            holder.take_over =
-                if now == BEGIN { first } else { now + weather.holders / 2 + rng.u64(..weather.holders) };
+            holder.take_over = match weather.holders {
+                _ if now == BEGIN => first,
+                0 => u64::MAX,
+                span => now + span / 2 + rng.u64(..span),
+            };
             holder.epoch += 1;
             holder.look_at = now;
             holder.duty.hold(secs, holder.epoch);
-            holder.duty.counters().unwrap().quota(CUSTOMER, RATE);
+            holder.duty.counters().unwrap().quota(CUSTOMER, Quota { rate: RATE, size: STORE });
             gateways.iter_mut().for_each(|g| g.end_all(now));
         }
-        if now >= holder.look_at {
+        if now >= holder.look_at && now >= holder.away {
             holder.look(now, &mut gateways);
         }
         for kill in weather.kills.iter().filter(|kill| BEGIN + kill.at == now) {
--- a/tests/ordinary/mod.rs
+++ b/tests/ordinary/mod.rs
@@ -73,7 +73,7 @@
                         *others = if kind == 0 { *others + 5.0 } else { 2.0 - *others };
                     }
                     let total = *own + *others;
-                    (CALL[kind], Event::Counted { name, total, how: Outcome::Passed })
+                    (CALL[kind], Event::Counted { name, total, level: None, how: Outcome::Passed })
                 }
                 Action::Dispatch { id, .. } => {
                     let (c, units) = reqs[id as usize];
--- a/tests/play.rs
+++ b/tests/play.rs
@@ -70,7 +70,7 @@
     }
 
     fn event(&mut self, w: &[&str]) {
-        let counted = |name, total, how| Event::Counted { name, total, how };
+        let counted = |name, total, how| Event::Counted { name, total, level: None, how };
         let event = match w[0] {
             "wait" => return,
             "known" => {
--- a/tests/silences.rs
+++ b/tests/silences.rs
@@ -20,6 +20,7 @@
         pools: 2,
         spells: (SPAN, 0),
         kills: Vec::new(),
+        no_holder: Vec::new(),
     }
 }
 
