--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -2,7 +2,8 @@
 //! troubles a seed, and the promises that have no bound in time. `docs/soak.md` tells of the long form.
 
 use lupinledge_soak::checks::Scope;
-use lupinledge_soak::cluster::Programs;
+use lupinledge_soak::cluster::{Programs, Size};
+use lupinledge_soak::faults::{Kind, Schedule};
 use lupinledge_soak::run::{run, Plan};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -19,14 +20,32 @@
     programs
 }
 
+/// Plays a run and asks for no broken promise.
+fn kept(plan: &Plan) {
+    let verdict = run(plan).expect("a run");
+    assert!(verdict.violations.is_empty(), "{}\n{:#?}", verdict.summary, verdict.violations);
+    std::fs::remove_dir_all(&plan.folder).expect("its folder goes");
+}
+
+/// A run of some seconds; its folder is its own.
+fn short(seed: u64, name: &str) -> Plan {
+    let folder = std::env::temp_dir().join(format!("lupinledge-soak-{}-{name}-{seed}", std::process::id()));
+    Plan::usual(seed, Duration::from_secs(8), programs(), Scope::Untimed, folder)
+}
+
 #[test_case(1)]
 #[test_case(2)]
 #[test_case(3)]
 fn promises_are_kept_under_overlapping_troubles(seed: u64) {
-    let folder = std::env::temp_dir().join(format!("lupinledge-soak-{}-{seed}", std::process::id()));
-    let trouble = Duration::from_secs(8);
-    let plan = Plan::usual(seed, trouble, programs(), Scope::Untimed, folder.clone());
-    let verdict = run(&plan).expect("a run");
-    assert!(verdict.violations.is_empty(), "{}\n{:#?}", verdict.summary, verdict.violations);
-    std::fs::remove_dir_all(folder).expect("its folder goes");
+    kept(&short(seed, "usual"));
+}
+
+/// Many edge processes that are killed, restarted and reloaded in series, and members of the core with them.
+#[test]
+fn promises_are_kept_by_a_fleet_that_starts_again_and_again() {
+    use Kind::{KillCores, KillEdges, ReloadEdges, RestartCore, RestartEdges};
+    let kinds = vec![KillEdges, RestartEdges, RestartEdges, ReloadEdges, RestartCore, KillCores];
+    let schedule = Schedule { kinds, pause: 200..1_500 };
+    let size = Size { edges: 16, ..Size::default() };
+    kept(&Plan { size, schedule, clients: 20, limited: 12, ..short(4, "fleet") });
 }
