What was presumed of a silent gateway is paid with what it used then; far from a quota parts are rounded up again

Change: what a gateway tells first, within a second of its return, is paid by its presumption, and later refunds within that give nothing back. A part below a whole request is a chance only where the store was not met, or was not half full when it was read last.

--- a/nectar/src/lib.rs
+++ b/nectar/src/lib.rs
@@ -196,7 +196,7 @@
         self.tick(now);
         for (customer, presumed) in self.silence.heard(self.now, from) {
             if let Some(store) = self.stores.of(customer) {
-                store.returned(from, presumed);
+                store.returned(self.now, from, presumed);
             }
         }
     }
--- a/nectar/src/store.rs
+++ b/nectar/src/store.rs
@@ -2,6 +2,7 @@
 //! whatever is added to a name of the customer's use is taken out. A gateway that asks is told what is left, so none
 //! has to reckon it from totals that it read at times of its own.
 
+use crate::silence::SILENT;
 use crate::Node;
 use std::collections::{BTreeMap, HashMap};
 
@@ -39,8 +40,42 @@
     at: f64,
     /// What silent gateways are presumed to have used, as far as it is taken out.
     presumed: f64,
-    /// Of gateways that were silent: what was taken out for them, until they tell what they used.
-    prepaid: BTreeMap<Node, f64>,
+    /// Of gateways that were silent: what was taken out for them, against what they tell since.
+    prepaid: BTreeMap<Node, Prepaid>,
+}
+
+/// What was taken out for a gateway while it was silent, against what it tells when it is heard again.
+#[derive(Clone, Copy, Debug)]
+enum Prepaid {
+    /// It has told nothing since it is back.
+    Untold { presumed: f64, back: f64 },
+    /// So much of what it told first had been taken out before. Charges of refused requests are taken off again: within
+    /// this nothing comes back for them, as nothing was taken out.
+    Told(f64),
+}
+
+impl Prepaid {
+    /// Notes an amount that is told; returns how much of it is to be taken out.
+    fn tell(&mut self, now: f64, amount: f64) -> f64 {
+        match *self {
+            Prepaid::Untold { presumed, back } => {
+                // what it tells later was not used in the silence
+                let paid = if now - back <= SILENT { presumed.min(amount.max(0.0)) } else { 0.0 };
+                *self = Prepaid::Told(paid);
+                amount - paid
+            }
+            Prepaid::Told(paid) => {
+                let kept = paid.min((-amount).max(0.0));
+                *self = Prepaid::Told(paid - kept);
+                amount + kept
+            }
+        }
+    }
+
+    /// Whether it changes nothing any more.
+    fn spent(self) -> bool {
+        matches!(self, Prepaid::Told(paid) if paid <= 0.0)
+    }
 }
 
 impl Store {
@@ -62,14 +97,20 @@
     /// above.
     pub(crate) fn take(&mut self, now: f64, presumed: f64, node: Node, amount: f64) {
         self.level(now, presumed);
-        let prepaid = self.prepaid.remove(&node).unwrap_or(0.0).min(amount.max(0.0));
-        self.level = (self.level - (amount - prepaid)).min(self.quota.size);
+        let due = match self.prepaid.get_mut(&node) {
+            Some(prepaid) => prepaid.tell(now, amount),
+            None => amount,
+        };
+        if self.prepaid.get(&node).is_some_and(|prepaid| prepaid.spent()) {
+            self.prepaid.remove(&node);
+        }
+        self.level = (self.level - due).min(self.quota.size);
     }
 
     /// A gateway is silent no more, for which so much was presumed.
-    pub(crate) fn returned(&mut self, node: Node, presumed: f64) {
+    pub(crate) fn returned(&mut self, now: f64, node: Node, presumed: f64) {
         self.presumed -= presumed;
-        self.prepaid.insert(node, presumed);
+        self.prepaid.insert(node, Prepaid::Untold { presumed, back: now });
     }
 
     /// Another quota from now on.
--- a/nectar/tests/store.rs
+++ b/nectar/tests/store.rs
@@ -153,3 +153,74 @@
     new.close(100.0, &[]);
     near(new.level(NAME).expect("a store"), QUOTA.size - 4.0);
 }
+
+/// The newest reading counts: an older one does not know where the store was full in between.
+#[test]
+fn a_new_holder_goes_by_the_newest_reading() {
+    let mut old = counters();
+    let (early, late) = (&mut (1, Own::default()), &mut (2, Own::default()));
+    add(&mut old, 100.0, early, 10.0);
+    let left = add(&mut old, 101.0, late, 5.0);
+    for order in [[0, 1], [1, 0]] {
+        let mut new = Counters::new(2);
+        new.quota(7, QUOTA);
+        for nth in order {
+            let (node, own) = [&*early, &*late][nth];
+            new.tell(101.0, (*node, 1), &Part::whole(own.told(101.0)));
+        }
+        new.close(101.0, &[]);
+        near(new.level(NAME).expect("a store"), left);
+    }
+}
+
+/// What was taken out for a silent gateway stays taken out when it is gone for good.
+#[test]
+fn nothing_comes_back_for_a_gateway_that_left() {
+    let mut counters = counters();
+    let (talking, silent) = (&mut (1, Own::default()), &mut (2, Own::default()));
+    add(&mut counters, 1.0, talking, 5.0);
+    add(&mut counters, 1.0, silent, 5.0);
+    let mut now = 1.0;
+    while now < 3.0 - NEAR {
+        now += 0.1;
+        add(&mut counters, now, talking, 2.0);
+    }
+    let level = counters.level(NAME).expect("a store");
+    assert!(counters.presumed(NAME) > 5.0 && level < QUOTA.size - 5.0);
+    counters.forget(2);
+    near(counters.level(NAME).expect("a store"), level);
+}
+
+/// A gateway that is back tells its calls of the silence, and takes those of refused requests off again: what had been
+/// taken out for it does not come back by that way either.
+#[test]
+fn refunds_behind_a_silence_give_back_no_more_than_was_charged() {
+    let mut counters = counters();
+    let (talking, silent) = (&mut (1, Own::default()), &mut (2, Own::default()));
+    add(&mut counters, 1.0, talking, 5.0);
+    add(&mut counters, 1.0, silent, 5.0);
+    let mut now = 1.0;
+    while now < 4.0 - NEAR {
+        now += 0.1;
+        add(&mut counters, now, talking, 2.0);
+    }
+    let (level, presumed) = (counters.level(NAME).expect("a store"), counters.presumed(NAME));
+    near(add(&mut counters, now, silent, 8.0), level - (8.0 - presumed).max(0.0));
+    near(add(&mut counters, now, silent, -8.0), level);
+    near(add(&mut counters, now, silent, 1.0), level - 1.0);
+    // one that says what it is doing now, long after it is back, used nothing of it in the silence
+    let quiet = &mut (3, Own::default());
+    add(&mut counters, now, quiet, 5.0);
+    for _ in 0..20 {
+        now += 0.1;
+        add(&mut counters, now, talking, 2.0);
+    }
+    counters.heard(now, 3);
+    for _ in 0..20 {
+        now += 0.1;
+        add(&mut counters, now, talking, 2.0);
+        counters.heard(now, 3);
+    }
+    let level = counters.level(NAME).expect("a store");
+    near(add(&mut counters, now, quiet, 3.0), level - 3.0);
+}
--- a/src/count.rs
+++ b/src/count.rs
@@ -12,8 +12,7 @@
         let (c, answered) = (call.customer, how == Outcome::Passed);
         let first = self.customers[c].quota.seen.is_none();
         blend(&mut self.slow, self.now.since(call.sent), if answered { 0.1 } else { 0.0 });
-        // A crowded counter gets fewer calls; one unanswered weighs as much as 50 answered, first ones most.
-        // What one stall held up is one sign; a spoilt answer is none, nor is silence
+        // a crowded counter gets fewer calls; what one stall held up is one sign, a spoilt answer is none
         self.answers += 1.0;
         let heard = answered || how == Outcome::Reset;
         let sign = !heard && self.misses < 6 && self.now.since(self.missed) > self.terms.count_wait.secs();
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -125,10 +125,13 @@
     }
 
     /// Whether units, `off` of which are off the store, fit into its own part with no answer to go by. Where
-    /// an overrun costs more than a req earns, a part less than whole is spent on a chance as large.
+    /// an overrun costs more than a req earns, and the store was not met or not half full when read last, a
+    /// part less than whole is spent on a chance as large: all gateways would round it up at once.
     pub(crate) fn alone(&mut self, c: usize, units: f64, off: f64) -> bool {
-        let (room, share) = (self.room(c) + off, self.share(c));
-        let (whole, dear) = (units / share, self.terms.plans[self.customers[c].plan].overrun_cost > 1.0);
+        let (room, whole, cust) = (self.room(c) + off, units / self.share(c), &self.customers[c]);
+        let p = &self.terms.plans[cust.plan];
+        let near = cust.quota.seen.is_none() || cust.level < 0.5 * p.burst;
+        let dear = p.overrun_cost > 1.0 && near;
         let chance = if dear { room / whole } else { (room >= units) as u8 as f64 };
         let fits = chance >= 1.0 || chance > 0.0 && self.rng.f64() < chance;
         // what the others use meanwhile goes off too
--- a/src/line.rs
+++ b/src/line.rs
@@ -47,8 +47,7 @@
         }
     }
 
-    /// How long a req may wait for the pool: until its target is out of reach, and less where frontends with
-    /// clearly more value in their time, or clearly dearer plans, would be late behind it.
+    /// How long a req may wait: until its target is out of reach; less if clearly dearer ones would be late.
     pub(crate) fn patience(&self, f: usize, plan: usize) -> f64 {
         let slack = |g: usize| self.terms.frontends[g].target.secs() - self.typical(g);
         let dense = |g: usize| self.terms.frontends[g].value / self.usual[g].max(1e-3);
--- a/src/pool.rs
+++ b/src/pool.rs
@@ -24,8 +24,7 @@
         }
     }
 
-    /// AIMD on the pool limit (DESIGN) once there are samples enough: one of many gateways waits for them.
-    /// Those of suspects are left out in `ended`. Unused places don't raise the limit and don't dull a cut.
+    /// AIMD on the pool limit (DESIGN) once there are samples enough. Unused places neither raise nor cut it.
     fn decide(&mut self) {
         let (mut late, seen) = (false, self.full as usize + self.samples.iter().map(Vec::len).sum::<usize>());
         if seen < 10 {
--- /dev/null
+++ b/tests/kept_store.rs
@@ -0,0 +1,180 @@
+//! A counter that keeps the stores of the quotas: what a gateway tells it, and what it goes by while it is not answered.
+
+use lupinledge::control::Control;
+use lupinledge::link::*;
+use lupinledge::time::{Point, Span};
+
+const RATE: f64 = 100.0;
+const BURST: f64 = 1_000.0;
+
+/// One pool of a gateway.
+struct Pool {
+    control: Control,
+    /// Milliseconds.
+    now: u64,
+    next: u64,
+    sent: u64,
+    /// Units told of each customer's use, answered or not.
+    told: std::collections::BTreeMap<u64, f64>,
+    /// Calls without an end.
+    calls: Vec<u64>,
+}
+
+impl Pool {
+    fn new(gateways: usize) -> Pool {
+        let frontend = Frontend {
+            effect: Effect::Replayable,
+            group: Group::All,
+            memory: Span::ZERO,
+            target: Span::millis(1_000),
+            late_value: 0.3,
+            value: 1.0,
+            timeout: Span::millis(2_000),
+            max_dispatches: 1,
+        };
+        let plan = Plan {
+            rate: RATE,
+            burst: BURST,
+            price: 1.0,
+            at_once: 0,
+            overrun_value: 0.0,
+            overrun_cost: 9.0,
+            ceiling_rate: 0.0,
+            ceiling_burst: 0.0,
+        };
+        let terms = Terms {
+            seed: 1,
+            gateways,
+            zones: 1,
+            frontends: vec![frontend],
+            plans: vec![plan],
+            counter: true,
+            count_wait: Span::millis(350),
+            largest: 1.0,
+            may_hint: true,
+            longest_hint: Span::from_secs(1.0),
+            warm_after: Span::millis(1),
+            fall_window: Span::from_secs(4.0),
+            start_each: 4.0 * gateways as f64,
+            window: Some(16.0 * 3600.0),
+            ..Terms::default()
+        };
+        let (control, told) = (Control::new(terms), Default::default());
+        let mut pool = Pool { control, now: 40_000, next: 0, sent: 0, told, calls: Vec::new() };
+        let row = |srv| SrvRow { srv, zone: 0, cell: 0, state: SrvState::Ready, weight: 1.0, born: None };
+        pool.round(vec![Event::List { kind: ListKind::Full, rows: (1..=20).map(row).collect() }]);
+        pool
+    }
+
+    fn round(&mut self, events: Vec<Event>) {
+        let mut acts = Vec::new();
+        self.control.round(Point::from_secs(self.now as f64 / 1e3), events, &mut acts);
+        let mut ended = Vec::new();
+        for act in acts {
+            match act {
+                Action::Count { name, amount, .. } => {
+                    *self.told.entry(name >> 24).or_default() += amount;
+                    self.calls.push(name);
+                }
+                Action::Dispatch { id, .. } => {
+                    self.sent += 1;
+                    let took = Span::millis(0);
+                    let end = Ended { id, nth: 0, how: Outcome::Passed, took, closed: true, billed: 0.0 };
+                    ended.push(Event::Ended(end, Vec::new()));
+                }
+                _ => {}
+            }
+        }
+        if !ended.is_empty() {
+            self.round(ended);
+        }
+    }
+
+    /// A request of a customer, `after` milliseconds later; whether the counter was called.
+    fn request(&mut self, after: u64, customer: u64, spread: f64) -> bool {
+        self.now += after;
+        self.next += 1;
+        let left = Span::millis(2_000);
+        let (id, zones) = (self.next, u64::MAX);
+        let request =
+            NewReq { id, frontend: 0, repeat: false, units: 1.0, customer, plan: 0, spread, left, zones };
+        let before = self.calls.len();
+        self.round(vec![Event::Req(request)]);
+        self.calls.len() > before
+    }
+
+    /// All calls end: with what is left in the store, or without an answer.
+    fn end_calls(&mut self, level: Option<f64>) {
+        self.now += 2;
+        let how = if level.is_some() { Outcome::Passed } else { Outcome::TimedOut };
+        let total = level.map_or(0.0, |_| 1.0);
+        let ended = |name| Event::Counted { name, total, level, how };
+        let events = std::mem::take(&mut self.calls).into_iter().map(ended).collect();
+        self.round(events);
+    }
+}
+
+#[test]
+fn a_crowd_ends_with_a_few_answers() {
+    let mut pool = Pool::new(1);
+    pool.request(10, 7, 1.0);
+    pool.end_calls(None);
+    let mut asked = 0;
+    for _ in 0..200 {
+        asked += u32::from(pool.request(100, 7, 1.0));
+        pool.end_calls(Some(BURST));
+    }
+    assert!(asked > 150, "{asked} of 200 were asked for");
+}
+
+/// What is let through unasked, while the counter seems crowded, is told with the next call.
+#[test]
+fn all_that_is_sent_is_told() {
+    let mut pool = Pool::new(1);
+    pool.request(10, 7, 1.0);
+    pool.end_calls(None);
+    // answers of another customer's leave this one's store unread
+    let mut unasked = 0;
+    for _ in 0..400 {
+        unasked += u32::from(!pool.request(5, 7, 1.0));
+        let before = pool.calls.len();
+        if before > 0 {
+            pool.end_calls(None);
+            pool.now += 400;
+            pool.request(5, 8, 1.0);
+            pool.end_calls(Some(BURST));
+        }
+    }
+    // the last are told by a call that is made for certain
+    for _ in 0..40 {
+        pool.request(100, 7, 1.0);
+        pool.end_calls(Some(BURST));
+    }
+    assert!(unasked > 100, "{unasked} unasked");
+    let told: f64 = pool.told.values().sum();
+    // but for what had filled up again by the time that it was told
+    let sent = pool.sent as f64;
+    assert!(told > 0.9 * sent && told < sent + 1e-6, "{told} told, {sent} sent");
+}
+
+/// Behind a silence what was charged for refused requests of any customer is given back at once.
+#[test]
+fn refunds_do_not_wait_for_another_request() {
+    let mut pool = Pool::new(1_000);
+    let refused = 1_000.0 * RATE;
+    // one of very many: its part is far below a whole request
+    let customers = [7, 11, 12];
+    let pending = |pool: &Pool| customers.iter().map(|customer| pool.told[customer]).sum::<f64>();
+    assert!(customers.iter().all(|customer| pool.request(10, *customer, refused)));
+    pool.end_calls(None);
+    assert!(pending(&pool) > 1.5, "{:?}", pool.told);
+    for _ in 0..40 {
+        pool.request(100, 9, refused);
+        let called = !pool.calls.is_empty();
+        pool.end_calls(Some(0.0));
+        if called {
+            break;
+        }
+    }
+    assert!(pending(&pool).abs() < 0.5, "{:?}", pool.told);
+}
--- a/tests/starts.rs
+++ b/tests/starts.rs
@@ -57,6 +57,8 @@
         ("holders", Weather { holders: 1_500, ..calm(load) }),
         ("freezes", Weather { freezes: 3_000, ..calm(load) }),
         ("silences", silences()),
+        ("silences of one holder", Weather { holders: 0, ..silences() }),
+        ("short silences", Weather { sound: 600, silent: 400, ..calm(load) }),
         ("silences, kills", Weather { kills: kills(15, 900, GATEWAYS / 3, 1_500), ..silences() }),
     ]
 }
