nectar is counters: the crate that keeps the customers' counters has the field's name

Two tests more of the stores, for what planted faults had passed through (the oldest reading instead of the newest; a part that is never rounded up).

--- a/apiary/src/core.rs
+++ b/apiary/src/core.rs
@@ -3,7 +3,7 @@
 use crate::process::{card, send, Command, Out, Reply, Say, Told};
 use crate::world::{Begin, Order};
 use crate::{Flaw, Node};
-use lupinledge_nectar::duty::Duty;
+use lupinledge_counters::duty::Duty;
 use lupinledge_propolis::turns::Caller;
 use lupinledge_propolis::{Answer, Document, Judged, Turns};
 use lupinledge_queen::{Ballot, Kept, Msg, Out as Ordered, Outcome, Queen, Settings};
--- a/apiary/src/counts.rs
+++ b/apiary/src/counts.rs
@@ -5,9 +5,9 @@
 use crate::process::{Out, Say, Told};
 use crate::world::Order;
 use crate::Flaw;
-use lupinledge_nectar::duty::{Answer, Look, Seen};
-use lupinledge_nectar::told::{Part, Told as Sum};
-use lupinledge_nectar::Incarnation;
+use lupinledge_counters::duty::{Answer, Look, Seen};
+use lupinledge_counters::told::{Part, Told as Sum};
+use lupinledge_counters::Incarnation;
 use lupinledge_waggle::{Member, Standing};
 
 /// The counters are looked at so often, and while they are not whole, seconds.
--- a/apiary/src/process.rs
+++ b/apiary/src/process.rs
@@ -4,7 +4,7 @@
 use crate::edge::Edge;
 use crate::world::{Life as Lives, Order};
 use crate::Node;
-use lupinledge_nectar::{told::Told as Sum, Incarnation};
+use lupinledge_counters::{told::Told as Sum, Incarnation};
 use lupinledge_propolis::{Answer, Document};
 use lupinledge_queen::{Ballot, Kept, Msg, Value};
 use lupinledge_waggle::{Card, Said, Sends};
--- a/apiary/src/sums.rs
+++ b/apiary/src/sums.rs
@@ -1,7 +1,7 @@
 //! The plain model of the counters: what was added, what holders were told, and what totals may be.
 
-use lupinledge_nectar::told::Told;
-use lupinledge_nectar::Incarnation;
+use lupinledge_counters::told::Told;
+use lupinledge_counters::Incarnation;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Sums of floats that should be the same differ by less.
--- a/nectar/tests/calls.rs
+++ b/counters/tests/calls.rs
@@ -1,8 +1,8 @@
 //! Which answers of a holder are taken for which calls: holders, epochs and starts of the asking process follow each
 //! other while answers are late, lost, doubled and out of order.
 
-use lupinledge_nectar::calls::{Calls, WAITING_MOST};
-use lupinledge_nectar::Node;
+use lupinledge_counters::calls::{Calls, WAITING_MOST};
+use lupinledge_counters::Node;
 
 /// What a call stands for: the start of its process, and which of that start's calls it is.
 type What = (u32, u32);
--- a/nectar/tests/duty.rs
+++ b/counters/tests/duty.rs
@@ -1,8 +1,8 @@
 //! What the duty holder does with its counters when gateways tell late, or what was meant for another epoch.
 
-use lupinledge_nectar::duty::{Answer, Duty, Look, Seen, LATE};
-use lupinledge_nectar::told::{Part, Told};
-use lupinledge_nectar::{Node, Total};
+use lupinledge_counters::duty::{Answer, Duty, Look, Seen, LATE};
+use lupinledge_counters::told::{Part, Told};
+use lupinledge_counters::{Node, Total};
 
 const NAME: u64 = 1 << 24;
 
--- a/nectar/tests/model.rs
+++ b/counters/tests/model.rs
@@ -1,9 +1,9 @@
 //! The counters against slow plain models: a log of all adds, and a fleet whose true use is known.
 
-use lupinledge_nectar::silence::{MEMORY, SILENT};
-use lupinledge_nectar::store::Quota;
-use lupinledge_nectar::told::{Part, Told};
-use lupinledge_nectar::{Counters, Node, NAMES_MOST};
+use lupinledge_counters::silence::{MEMORY, SILENT};
+use lupinledge_counters::store::Quota;
+use lupinledge_counters::told::{Part, Told};
+use lupinledge_counters::{Counters, Node, NAMES_MOST};
 use std::collections::HashMap;
 use std::ops::{Deref, DerefMut};
 
--- a/nectar/tests/own.rs
+++ b/counters/tests/own.rs
@@ -1,7 +1,7 @@
 //! A gateway's own sums: bounded, and none that was told is forgotten while its name lives.
 
-use lupinledge_nectar::own::{Own, NAMES_MOST};
-use lupinledge_nectar::Counters;
+use lupinledge_counters::own::{Own, NAMES_MOST};
+use lupinledge_counters::Counters;
 
 const LIFE: f64 = 60.0;
 
--- a/nectar/tests/parts.rs
+++ b/counters/tests/parts.rs
@@ -1,9 +1,9 @@
 //! A new holder is told what gateways counted of a great many customers, in parts that come in any order, more than once
 //! and with others between them.
 
-use lupinledge_nectar::own::Own;
-use lupinledge_nectar::told::{Part, PART_MOST};
-use lupinledge_nectar::{Counters, Node, Total};
+use lupinledge_counters::own::Own;
+use lupinledge_counters::told::{Part, PART_MOST};
+use lupinledge_counters::{Counters, Node, Total};
 
 const TENANTS: u64 = 18_000;
 const GATEWAYS: Node = 3;
--- a/nectar/tests/store.rs
+++ b/counters/tests/store.rs
@@ -1,10 +1,10 @@
 //! The store of a customer's quota at the holder of the counters, against a plain model, over silences and holders.
 
-use lupinledge_nectar::own::Own;
-use lupinledge_nectar::silence::SILENT;
-use lupinledge_nectar::store::Quota;
-use lupinledge_nectar::told::Part;
-use lupinledge_nectar::{Counters, Node};
+use lupinledge_counters::own::Own;
+use lupinledge_counters::silence::SILENT;
+use lupinledge_counters::store::Quota;
+use lupinledge_counters::told::Part;
+use lupinledge_counters::{Counters, Node};
 
 const NAME: u64 = 7 << 24;
 const LIFE: f64 = 3600.0;
@@ -160,16 +160,17 @@
     let mut old = counters();
     let (early, late) = (&mut (1, Own::default()), &mut (2, Own::default()));
     add(&mut old, 100.0, early, 10.0);
-    let left = add(&mut old, 101.0, late, 5.0);
+    add(&mut old, 100.3, late, 5.0);
+    let left = old.level(NAME).expect("a store") + QUOTA.rate;
     for order in [[0, 1], [1, 0]] {
         let mut new = Counters::new(2);
         new.quota(7, QUOTA);
         for nth in order {
             let (node, own) = [&*early, &*late][nth];
-            new.tell(101.0, (*node, 1), &Part::whole(own.told(101.0)));
+            new.tell(101.3, (*node, 1), &Part::whole(own.told(101.3)));
         }
-        new.close(101.0, &[]);
-        near(new.level(NAME).expect("a store"), left);
+        new.close(101.3, &[]);
+        near(new.level(NAME).expect("a store"), left.min(QUOTA.size));
     }
 }
 
--- a/hive/src/counts.rs
+++ b/hive/src/counts.rs
@@ -3,12 +3,12 @@
 
 use crate::agree::Agree;
 use crate::clock::Clock;
+use lupinledge_counters::duty::{Answer, Duty, Look, Seen};
+use lupinledge_counters::store::{Quota, Reading};
+use lupinledge_counters::told::{Part, Told};
+use lupinledge_counters::{Incarnation, Total};
 use lupinledge_gossip::Gossip;
 use lupinledge_messaging::{parts, round, units, CountedName, Post, ToldName, Word};
-use lupinledge_nectar::duty::{Answer, Duty, Look, Seen};
-use lupinledge_nectar::store::{Quota, Reading};
-use lupinledge_nectar::told::{Part, Told};
-use lupinledge_nectar::{Incarnation, Total};
 use lupinledge_propolis::{Tables, Tenant};
 use lupinledge_queen::Node;
 use lupinledge_waggle::{Member, Standing};
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -5,11 +5,11 @@
 use lupinledge::link::*;
 use lupinledge::tables::Basis;
 use lupinledge::time::{Point, Span};
-use lupinledge_nectar::duty::{Duty, Look, Seen};
-use lupinledge_nectar::own::Own;
-use lupinledge_nectar::store::Quota;
-use lupinledge_nectar::told::Part;
-use lupinledge_nectar::{Node, Total};
+use lupinledge_counters::duty::{Duty, Look, Seen};
+use lupinledge_counters::own::Own;
+use lupinledge_counters::store::Quota;
+use lupinledge_counters::told::Part;
+use lupinledge_counters::{Node, Total};
 use std::collections::BTreeMap;
 
 const CUSTOMER: u64 = 7;
--- a/tests/kept_store.rs
+++ b/tests/kept_store.rs
@@ -107,7 +107,7 @@
     fn end_calls(&mut self, level: Option<f64>) {
         self.now += 2;
         let how = if level.is_some() { Outcome::Passed } else { Outcome::TimedOut };
-        let total = level.map_or(0.0, |_| 1.0);
+        let total = level.map_or(0.0, |_| 100_000.0);
         let ended = |name| Event::Counted { name, total, level, how };
         let events = std::mem::take(&mut self.calls).into_iter().map(ended).collect();
         self.round(events);
@@ -178,3 +178,28 @@
     }
     assert!(pending(&pool).abs() < 0.5, "{:?}", pool.told);
 }
+
+/// Far from its quota a tenant is served by each of very many pools while the counter is away; near it, or not met, by
+/// few of them.
+#[test]
+fn a_part_of_a_full_store_is_rounded_up() {
+    const VERY_MANY: f64 = 20_000.0;
+    let sent_alone = |level: Option<f64>| {
+        let mut pool = Pool::new(1);
+        for customer in 1..=20 {
+            if level.is_some() {
+                pool.request(10, customer, VERY_MANY);
+                pool.end_calls(level);
+            }
+        }
+        let before = pool.sent;
+        for customer in 1..=20 {
+            pool.request(10, customer, VERY_MANY);
+        }
+        pool.end_calls(None);
+        pool.sent - before
+    };
+    assert_eq!(sent_alone(Some(0.9 * BURST)), 20);
+    assert!(sent_alone(Some(0.05 * BURST)) < 8);
+    assert!(sent_alone(None) < 8);
+}
