--- a/src/count.rs
+++ b/src/count.rs
@@ -55,10 +55,10 @@
     /// fill is not known: most if all use came after it, least if before. The dearer an overrun, the lower.
     fn quota_counted(&mut self, call: &Call, read: Reading, answered: bool, added: bool) -> f64 {
         let (own, part, total) = (self.room(call.customer), self.share(call.customer), read.total);
+        let silence = self.dear_silence(call.customer);
         // what a far counter has not told yet: others send meanwhile as this gateway does, by its share
         let unseen = if self.slow > 0.02 { 1.0 / self.share(call.customer) - 1.0 } else { 0.0 };
         let cust = &mut self.customers[call.customer];
-        let silence = cust.in_silence(self.now);
         let (p, q) = (&self.terms.plans[cust.plan], &mut cust.quota);
         let own = own + q.flying + q.owed;
         q.flying -= call.amount;
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -120,7 +120,7 @@
     pub(crate) fn share(&self, c: usize) -> f64 {
         let cust = &self.customers[c];
         let prior = 0.5 * self.terms.plans[cust.plan].burst.max(1.0);
-        let alone = if cust.in_silence(self.now) { 0.85 } else { 1.0 }; // each has seen others rest
+        let alone = if self.dear_silence(c) { 0.85 } else { 1.0 }; // each has seen others rest
         alone * ((cust.own + prior / cust.spread) / (cust.all + prior)).clamp(0.5 / cust.spread, 1.0)
     }
 
--- a/src/tables.rs
+++ b/src/tables.rs
@@ -593,6 +593,11 @@
         &self.terms
     }
 
+    /// Whether a customer whose overruns cost more than its reqs earn is in a silence.
+    pub(crate) fn dear_silence(&self, c: usize) -> bool {
+        let cust = &self.customers[c];
+        cust.in_silence(self.now) && self.terms.plans[cust.plan].overrun_cost > 1.0
+    }
     /// Has the counter told of those that hold leases, or are to give back what they charged.
     pub(crate) fn refresh(&mut self) {
         let due = |cust: &Customer| cust.leased > 1e-6 || cust.quota.urgent;
