Soak: a process that is frozen when it is asked to end is thawed

Cause: waiting for a process's end took its child out of its place, so the signal that was to thaw it found none; it stood still until it was killed after 12 s. Change: the child stays in its place while its end is waited for. Ruled out: the program (it never ran after SIGTERM); an excuse for such requests (it would hide what the fault was).

--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -376,14 +376,17 @@
     pub fn terminate(&self, process: Process) -> Option<(Duration, bool)> {
         self.signal(process, Signal::Terminate);
         let began = Instant::now();
-        let mut child = self.node(process).child.take()?;
+        // its child stays in its place: one that is frozen meanwhile is to be thawed
         while began.elapsed() < END_WAIT {
-            if let Ok(Some(status)) = child.try_wait() {
+            let mut node = self.node(process);
+            if let Ok(Some(status)) = node.child.as_mut()?.try_wait() {
+                node.child = None;
                 return Some((began.elapsed(), status.success()));
             }
+            drop(node);
             sleep(Duration::from_millis(10));
         }
-        let _ = (child.kill(), child.wait());
+        self.kill(process);
         Some((began.elapsed(), false))
     }
 
