Operations: the voters' and the gateways' side of keys that run once, pure

Change: a crate without I/O. A key is claimed at the members of the core before its request is sent; a majority's grants, each on its disk, let it run. Votes count together only under one electorate (members and incarnations), so that a voter that lost its disk, or was no member for a while, learns first. Not driven by anything yet; tests follow. Ruled out: the holder alone as the place of keys (two round trips between regions instead of one, and no keyed request while it is replaced); keys in the agreed document (a whole value for each key).

--- a/messaging/src/counts.rs
+++ b/messaging/src/counts.rs
@@ -3,8 +3,8 @@
 use std::cell::Cell;
 
 /// Kinds of words, as their bytes are counted.
-pub const KINDS: [&str; 8] =
-    ["probes", "agreement", "wants", "documents", "lists", "digests", "counters", "clock"];
+pub const KINDS: [&str; 9] =
+    ["probes", "agreement", "wants", "documents", "lists", "digests", "counters", "clock", "operations"];
 
 /// What happened at a post so far.
 #[derive(Debug, Default)]
--- a/messaging/src/word.rs
+++ b/messaging/src/word.rs
@@ -118,6 +118,9 @@
         /// The answerer's steady clock.
         hive: f64,
     },
+    /// Operations that run once per key.
+    #[serde(rename = "u")]
+    Operation(lupinledge_operations::Message),
 }
 
 /// What a gateway had told of a name.
@@ -172,6 +175,7 @@
             Word::News { .. } | Word::Patches { .. } => 5,
             Word::Count { .. } | Word::Hold { .. } | Word::Told { .. } | Word::Counted { .. } => 6,
             Word::Clock { .. } | Word::ClockIs { .. } => 7,
+            Word::Operation(_) => 8,
         }
     }
 }
