--- a/skep/src/lib.rs
+++ b/skep/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod disk;
 mod folder;
+pub mod journal;
 mod lock;
 mod log;
 mod snapshot;
@@ -16,6 +17,7 @@
 
 pub use disk::{Disk, Found, LOG_MOST, STATE_MOST};
 pub use folder::{DataDir, Folder, LogStep};
+pub use journal::{Journal, JournalBounds, OpenedJournal, Replayed};
 pub use lock::{FolderLock, InUse};
 pub use store::{Opened, Saved, Store};
 
