--- a/operations/src/electorate.rs
+++ b/operations/src/electorate.rs
@@ -109,7 +109,9 @@
     /// Goes by a later agreed value; returns whether it was later. Who doesn't count any more has to learn before it
     /// may count again: its incarnation ends.
     pub fn follow(&mut self, index: u64, members: &[Node], outgoing: &[Node]) -> bool {
-        if index <= self.index || members.is_empty() {
+        // the founders' value has index 0, as has an electorate that knows nobody yet
+        let later = index > self.index || self.members.is_empty();
+        if !later || members.is_empty() {
             return false;
         }
         let before = self.others(0);
--- a/operations/src/voter.rs
+++ b/operations/src/voter.rs
@@ -37,6 +37,12 @@
     Message(Message),
 }
 
+impl Later {
+    fn is_vote(&self) -> bool {
+        matches!(self, Later::Granted(..))
+    }
+}
+
 /// What the driver has to do, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Out {
@@ -99,6 +105,8 @@
     saved: u64,
     /// What is to be sent once that number is on disk.
     waiting: BTreeMap<u64, Vec<(Node, Later)>>,
+    /// Whether the journal takes further claims and answers.
+    room: bool,
     next_known: f64,
 }
 
@@ -119,6 +127,7 @@
             appended: 0,
             saved: 0,
             waiting: BTreeMap::new(),
+            room: true,
             next_known: now,
         };
         let ready = voter.replay(entries);
@@ -172,6 +181,21 @@
         matches!(self.role, Role::Ready) && self.electorate.has(self.settings.me)
     }
 
+    /// Whether it learns what the other voters hold, or records that.
+    pub fn learns(&self) -> bool {
+        !matches!(self.role, Role::Ready)
+    }
+
+    /// Number of the last entry that was appended.
+    pub fn appended(&self) -> u64 {
+        self.appended
+    }
+
+    /// Tells whether the journal has room: without it no further claim is granted, and no answer is kept.
+    pub fn set_room(&mut self, room: bool) {
+        self.room = room;
+    }
+
     /// Keys that are held.
     pub fn records(&self) -> usize {
         self.held.len()
@@ -278,7 +302,7 @@
             return Verdict::Held { by, fingerprint, answered: held.answer.is_some() };
         }
         let sound = record.keep.is_finite() && record.keep > 0.0 && f64::from(record.keep) <= KEEP_MOST;
-        if !sound || self.held.len() >= self.settings.records_most {
+        if !sound || !self.room || self.held.len() >= self.settings.records_most {
             return Verdict::Abstained;
         }
         let number = self.append(Entry::Granted(record), Some(f64::from(record.keep)), true, out);
@@ -299,7 +323,7 @@
     fn store(&mut self, key: Key, claim: ClaimId, answer: Vec<u8>, out: &mut Vec<Out>) {
         let held = self.held.get(&key);
         let Some(held) = held.filter(|h| h.record.claim == claim && h.answer.is_none()) else { return };
-        if self.answer_bytes + answer.len() > self.settings.answer_bytes_most {
+        if !self.room || self.answer_bytes + answer.len() > self.settings.answer_bytes_most {
             return;
         }
         let keep = held.expires - self.now;
@@ -336,6 +360,10 @@
         let mut records: Vec<Record> = self.held.values().map(left).collect();
         records.sort_unstable_by_key(|record| record.key);
         let parts = records.len().div_ceil(RECORDS_IN_PART).max(1) as u16;
+        // who asks again has no use for what still waits since the last time
+        self.waiting
+            .values_mut()
+            .for_each(|waiting| waiting.retain(|(to, later)| *to != from || later.is_vote()));
         for part in 0..parts {
             let rest = records.split_off(records.len().min(RECORDS_IN_PART));
             let records = std::mem::replace(&mut records, rest);
@@ -460,7 +488,10 @@
         if number <= self.saved {
             out.push(Out::Send(to, self.now_said(later)));
         } else {
-            self.waiting.entry(number).or_default().push((to, later));
+            let waiting = self.waiting.entry(number).or_default();
+            // a claim that is repeated while it waits gets one vote
+            waiting.retain(|(node, earlier)| *node != to || !(earlier.is_vote() && later.is_vote()));
+            waiting.push((to, later));
         }
     }
 
--- /dev/null
+++ b/operations/tests/bounds.rs
@@ -0,0 +1,104 @@
+//! What a voter holds back or refuses while its journal is behind or full, and how the founders begin.
+
+use lupinledge_operations::voter::{Out, Settings, Voter};
+use lupinledge_operations::{ClaimId, Electorate, ElectorateId, Entry, Fingerprint, Incarnation, Key};
+use lupinledge_operations::{Message, Node, Verdict};
+
+const ME: Node = 1;
+const GATEWAY: Node = 9;
+
+fn settings() -> Settings {
+    Settings { me: ME, seed: 7, founds: true, records_most: 100, answer_bytes_most: 1000 }
+}
+
+fn claim_id(sequence: u64) -> ClaimId {
+    ClaimId { gateway: GATEWAY, start: 1, sequence }
+}
+
+fn claim(key: u64, sequence: u64) -> Message {
+    let (key, claim, fingerprint) = (Key(key, 0), claim_id(sequence), Fingerprint(5));
+    Message::Claim { key, claim, fingerprint, keep: 60.0, electorate: ElectorateId::default() }
+}
+
+/// A voter of three that founded the system, with all that it has journaled so far on disk.
+fn founder() -> Voter {
+    let mut out = Vec::new();
+    let mut voter = Voter::new(0.0, settings(), Vec::new(), &mut out);
+    voter.members(0.0, 1, &[1, 2, 3], &[], &mut out);
+    let appended = voter.appended();
+    voter.saved(0.0, appended, &mut out);
+    voter
+}
+
+fn heard(voter: &mut Voter, from: Node, message: Message) -> Vec<Out> {
+    let mut out = Vec::new();
+    voter.heard(1.0, from, message, &mut out);
+    out
+}
+
+fn saved(voter: &mut Voter) -> Vec<Out> {
+    let mut out = Vec::new();
+    let appended = voter.appended();
+    voter.saved(1.0, appended, &mut out);
+    out
+}
+
+fn verdicts(out: &[Out]) -> Vec<Verdict> {
+    let verdict = |out: &Out| match out {
+        Out::Send(_, Message::Vote { verdict, .. }) => Some(*verdict),
+        _ => None,
+    };
+    out.iter().filter_map(verdict).collect()
+}
+
+#[test]
+fn the_founders_value_at_index_0_makes_an_electorate() {
+    let mut electorate = Electorate::default();
+    assert!(!electorate.follow(0, &[], &[]), "nobody counts by it");
+    assert!(electorate.follow(0, &[1, 2, 3], &[]));
+    assert!(!electorate.follow(0, &[1, 2, 3], &[]), "the same value under a later epoch");
+    assert!(electorate.follow(1, &[1, 2], &[]));
+    assert!(!electorate.follow(0, &[1, 2, 3], &[]), "an older one");
+    assert_eq!(electorate.members, [1, 2]);
+}
+
+#[test]
+fn a_claim_that_is_repeated_before_the_sync_gets_one_vote() {
+    let mut voter = founder();
+    (0..50).for_each(|_| assert_eq!(verdicts(&heard(&mut voter, GATEWAY, claim(1, 1))), []));
+    assert_eq!(verdicts(&saved(&mut voter)), [Verdict::Granted]);
+}
+
+#[test]
+fn a_learner_that_asks_again_before_the_sync_is_told_once() {
+    let mut voter = founder();
+    heard(&mut voter, GATEWAY, claim(1, 1));
+    let incarnation = Incarnation { number: 1, nonce: 1 };
+    let learn = Message::Learn { incarnation, electorate: Electorate::default() };
+    (0..50).for_each(|_| drop(heard(&mut voter, 2, learn.clone())));
+    let out = saved(&mut voter);
+    let told = out.iter().filter(|out| matches!(out, Out::Send(2, Message::Learnt { .. }))).count();
+    assert_eq!((told, verdicts(&out)), (1, vec![Verdict::Granted]));
+}
+
+#[test]
+fn without_room_in_the_journal_nothing_is_granted_or_kept_but_what_is_held_is_told() {
+    let mut voter = founder();
+    heard(&mut voter, GATEWAY, claim(1, 1));
+    saved(&mut voter);
+    voter.set_room(false);
+    let out = heard(&mut voter, GATEWAY, claim(2, 2));
+    assert_eq!(verdicts(&out), [Verdict::Abstained]);
+    assert!(!out.iter().any(|out| matches!(out, Out::Append { .. })));
+    assert_eq!(verdicts(&heard(&mut voter, GATEWAY, claim(1, 1))), [Verdict::Granted]);
+    let held = verdicts(&heard(&mut voter, GATEWAY, claim(1, 3)));
+    assert!(matches!(held[..], [Verdict::Held { by, .. }] if by == claim_id(1)), "{held:?}");
+    let answer = serde_bytes::ByteBuf::from(vec![0; 10]);
+    let store = Message::Store { key: Key(1, 0), claim: claim_id(1), answer };
+    assert_eq!(heard(&mut voter, GATEWAY, store.clone()), []);
+    voter.set_room(true);
+    let kept = heard(&mut voter, GATEWAY, store);
+    assert!(matches!(kept[..], [Out::Append { entry: Entry::Answer { .. }, .. }]), "{kept:?}");
+    assert_eq!(verdicts(&heard(&mut voter, GATEWAY, claim(2, 2))), []);
+    assert_eq!(verdicts(&saved(&mut voter)), [Verdict::Granted]);
+}
