--- a/skep/src/folder.rs
+++ b/skep/src/folder.rs
@@ -22,8 +22,20 @@
     fn path(&self) -> &Path;
     /// Makes a file, or cuts it to nothing, and writes this to it.
     fn create(&self, name: &str, parts: [&[u8]; 2]) -> io::Result<File>;
+    /// Writes at the end of what was written to an open file.
+    fn append(&self, mut file: &File, _name: &str, bytes: &[u8]) -> io::Result<()> {
+        file.write_all(bytes)
+    }
+    /// Cuts a file to this length.
+    fn truncate(&self, file: &File, _name: &str, length: u64) -> io::Result<()> {
+        file.set_len(length)
+    }
     /// Syncs a file.
     fn sync(&self, file: &File, name: &str) -> io::Result<()>;
+    /// Syncs the content and the length of a file.
+    fn sync_data(&self, file: &File, name: &str) -> io::Result<()> {
+        self.sync(file, name)
+    }
     /// Renames a file, in place of one that has the name.
     fn rename(&self, from: &str, to: &str) -> io::Result<()>;
     /// Removes a file.
@@ -53,6 +65,10 @@
         file.sync_all()
     }
 
+    fn sync_data(&self, file: &File, _: &str) -> io::Result<()> {
+        file.sync_data()
+    }
+
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         fs::rename(self.0.join(from), self.0.join(to))
     }
--- a/skep/src/journal.rs
+++ b/skep/src/journal.rs
@@ -3,8 +3,21 @@
 //! Whole segments are deleted once all their entries have expired; `okaywal` does not fit, since its checkpoint wants a
 //! snapshot of everything that is still needed.
 
+mod batch;
+mod format;
+mod queue;
+mod replay;
+mod segments;
+mod writer;
+
+pub use batch::{Batch, Head};
+pub use segments::Segments;
+
+use crate::{DataDir, Folder};
+use queue::Queue;
 use std::path::PathBuf;
-use tokio::sync::mpsc::UnboundedReceiver;
+use std::sync::Arc;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver};
 use tokio::sync::oneshot;
 
 /// Bounds of a journal.
@@ -38,14 +51,29 @@
 }
 
 /// The handle of the thread that writes. Dropping it writes what waits, once, and ends the thread.
-pub struct Journal {}
+pub struct Journal {
+    queue: Arc<Queue>,
+}
 
 impl Journal {
     /// Reads what is there and begins to take entries, on a thread of its own. The journal touches no files of the
     /// folder but its own. A disk that can't be read is tried again until it can.
     pub fn open(folder: PathBuf, bounds: JournalBounds) -> eyre::Result<OpenedJournal> {
-        let _ = (folder, bounds);
-        eyre::bail!("not built")
+        Self::open_on(DataDir(folder), bounds)
+    }
+
+    /// As [`Journal::open`], on any folder. Errors: no thread.
+    pub fn open_on(
+        folder: impl Folder + Clone + Send + 'static,
+        bounds: JournalBounds,
+    ) -> eyre::Result<OpenedJournal> {
+        let (tell_found, found) = oneshot::channel();
+        let (tell_saved, saved) = unbounded_channel();
+        let queue = Arc::new(Queue::new(bounds.bytes_most));
+        let journal = Journal { queue: queue.clone() };
+        let run = move || writer::run(folder, bounds, &queue, tell_found, tell_saved);
+        std::thread::Builder::new().name("journal".into()).stack_size(256 << 10).spawn(run)?;
+        Ok(OpenedJournal { journal, found, saved })
     }
 
     /// Hands an entry over. The first number after open is 1, and numbers rise by one.
@@ -53,23 +81,28 @@
     /// `keep_s`: for how many seconds the entry is needed; none: until a head that is set later is on disk. An urgent
     /// entry is written and synced at once, together with all that waits; others within 250 ms.
     ///
-    /// False: the entry was not taken, because the journal is full, the disk is behind, or the number is not the next
-    /// one. The caller keeps the entry and hands it over again later, under the same number and before any other one.
-    /// Until it is taken, no number from it on is taken or told as saved. Entries that were taken are never handed
-    /// over again: the journal retries by itself until they are on disk.
+    /// False: the entry was not taken, because the journal is full, the disk is behind or not read yet, or the number
+    /// is not the next one. The caller keeps the entry and hands it over again later, under the same number and before
+    /// any other one. Until it is taken, no number from it on is taken or told as saved. An entry that was taken is
+    /// never handed over again: the journal retries by itself until it is on disk. An entry past 8 MB is never taken.
     pub fn append(&self, number: u64, entry: Vec<u8>, keep_s: Option<f64>, urgent: bool) -> bool {
-        let _ = (number, entry, keep_s, urgent);
-        false
+        self.queue.append(number, &entry, keep_s, urgent)
     }
 
     /// The entries that each new segment begins with; they replace the last head. Once they are on disk, entries without
-    /// `keep_s` that were appended before this call may be deleted, and so may the heads of earlier starts.
+    /// `keep_s` that were appended before this call may be deleted, and so may all heads before.
     pub fn set_head(&self, entries: Vec<Vec<u8>>) {
-        let _ = entries;
+        self.queue.set_head(&entries);
     }
 
     /// Bytes on disk now.
     pub fn bytes(&self) -> u64 {
-        0
+        self.queue.bytes_on_disk()
+    }
+}
+
+impl Drop for Journal {
+    fn drop(&mut self) {
+        self.queue.close();
     }
 }
--- a/skep/tests/power/main.rs
+++ b/skep/tests/power/main.rs
@@ -1,6 +1,7 @@
 //! The power goes at every single operation on the folder, with mixes of what was not synced kept, lost and torn;
 //! what is there after it is the state that was saved last, or a later one.
 
+mod journal;
 mod shadow;
 
 use fastrand::Rng;
--- a/skep/tests/power/shadow.rs
+++ b/skep/tests/power/shadow.rs
@@ -6,11 +6,12 @@
 //! the first one of a segment; between those two syncs the power is cut as well.
 
 use fastrand::Rng;
-use lupinledge_skep::{Folder, LogStep};
+use lupinledge_skep::{DataDir, Folder, LogStep};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fs::{self, File};
-use std::io::{self, Write};
+use std::io::{self, Seek, Write};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -29,12 +30,18 @@
     InPlace,
     /// Entries of the log are not synced.
     EntryUnsynced,
+    /// Batches of the journal are not synced.
+    BatchUnsynced,
+    /// A removal comes to the disk only with a later sync of the folder.
+    RemovalUnsynced,
 }
 
 #[derive(Clone, Default)]
 struct Content {
     synced: Vec<u8>,
     now: Vec<u8>,
+    /// Bytes that a sync that failed has dropped: they are read, and no later sync brings them to the disk.
+    dropped: Vec<bool>,
 }
 
 #[derive(Clone)]
@@ -54,20 +61,23 @@
     synced: BTreeMap<String, usize>,
     now: BTreeMap<String, usize>,
     changes: Vec<Change>,
+    /// Something was removed since the last sync of the folder.
+    removed: bool,
 }
 
 /// What is done at each step, with what is known of the disk then.
 pub type Look = Rc<RefCell<dyn FnMut(&mut dyn FnMut(&mut Rng) -> Image)>>;
 
 /// See the module.
+#[derive(Clone)]
 pub struct Shadow {
     path: PathBuf,
     flaw: Flaw,
-    state: RefCell<State>,
+    state: Rc<RefCell<State>>,
     look: Look,
     /// One of so many operations fails, before or after it did anything; 0: none.
     pub refuses: u32,
-    dice: RefCell<Rng>,
+    dice: Rc<RefCell<Rng>>,
 }
 
 /// The files of a folder.
@@ -108,6 +118,28 @@
 }
 
 impl Content {
+    /// These bytes were written.
+    fn wrote(&mut self, range: Range<usize>) {
+        self.dropped.resize(self.now.len(), false);
+        self.dropped[range].fill(false);
+    }
+
+    fn sync(&mut self) {
+        self.dropped.resize(self.now.len(), false);
+        let was = std::mem::take(&mut self.synced);
+        let old = was.into_iter().chain(std::iter::repeat(0));
+        let bytes = self.now.iter().zip(&self.dropped).zip(old);
+        self.synced = bytes.map(|((now, dropped), old)| if *dropped { old } else { *now }).collect();
+    }
+
+    /// A sync failed: what it was to write may count as written.
+    fn sync_failed(&mut self) {
+        self.dropped.resize(self.now.len(), false);
+        for (at, dropped) in self.dropped.iter_mut().enumerate() {
+            *dropped |= self.synced.get(at) != Some(&self.now[at]);
+        }
+    }
+
     fn left(&self, rng: &mut Rng) -> Vec<u8> {
         match rng.u8(..4) {
             0 => return self.now.clone(),
@@ -137,11 +169,11 @@
         let mut state = State::default();
         for (name, bytes) in synced {
             state.now.insert(name.clone(), state.files.len());
-            state.files.push(Content { synced: bytes.clone(), now: bytes.clone() });
+            state.files.push(Content { synced: bytes.clone(), now: bytes.clone(), dropped: Vec::new() });
         }
         state.synced = state.now.clone();
-        let dice = RefCell::new(Rng::with_seed(synced.len() as u64));
-        Shadow { path, flaw, state: RefCell::new(state), look, refuses: 0, dice }
+        let dice = Rc::new(RefCell::new(Rng::with_seed(synced.len() as u64)));
+        Shadow { path, flaw, state: Rc::new(RefCell::new(state)), look, refuses: 0, dice }
     }
 
     /// Whether an operation is to fail here.
@@ -173,7 +205,7 @@
                 Some(file) => state.files[file].now = bytes,
                 None => {
                     let file = state.files.len();
-                    state.files.push(Content { synced: Vec::new(), now: bytes });
+                    state.files.push(Content { now: bytes, ..Content::default() });
                     state.now.insert(name.clone(), file);
                     state.changes.push(Change::Make(name, file));
                 }
@@ -184,7 +216,21 @@
     fn synced(&self, names: &[&str]) {
         let mut state = self.state.borrow_mut();
         for file in names.iter().filter_map(|name| state.now.get(*name).copied()).collect::<Vec<_>>() {
-            state.files[file].synced = state.files[file].now.clone();
+            state.files[file].sync();
+        }
+    }
+
+    fn sync_failed(&self, name: &str) {
+        let mut state = self.state.borrow_mut();
+        if let Some(file) = state.now.get(name).copied() {
+            state.files[file].sync_failed();
+        }
+    }
+
+    fn wrote(&self, name: &str, range: Range<usize>) {
+        let mut state = self.state.borrow_mut();
+        if let Some(file) = state.now.get(name).copied() {
+            state.files[file].wrote(range);
         }
     }
 
@@ -216,7 +262,10 @@
     }
 
     fn sync(&self, _: &File, name: &str) -> io::Result<()> {
-        self.refuse()?;
+        if let Err(e) = self.refuse() {
+            self.sync_failed(name);
+            return Err(e);
+        }
         if self.flaw != Flaw::SnapshotUnsynced {
             self.synced(&[if self.flaw == Flaw::InPlace { "snapshot" } else { name }]);
         }
@@ -224,6 +273,36 @@
         self.refuse()
     }
 
+    fn append(&self, mut file: &File, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.refuse()?;
+        let (first, second) = bytes.split_at(self.dice.borrow_mut().usize(..=bytes.len()));
+        for part in [first, second] {
+            file.write_all(part)?;
+            let end = file.stream_position()? as usize;
+            self.follow();
+            self.wrote(name, end - part.len()..end);
+            self.look();
+            self.refuse()?;
+        }
+        Ok(())
+    }
+
+    fn truncate(&self, file: &File, _: &str, length: u64) -> io::Result<()> {
+        self.refuse()?;
+        file.set_len(length)?;
+        self.follow();
+        self.look();
+        self.refuse()
+    }
+
+    fn sync_data(&self, file: &File, name: &str) -> io::Result<()> {
+        if self.flaw == Flaw::BatchUnsynced {
+            self.look();
+            return Ok(());
+        }
+        self.sync(file, name)
+    }
+
     fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         self.refuse()?;
         if self.flaw == Flaw::InPlace {
@@ -244,6 +323,7 @@
         self.refuse()?;
         fs::remove_file(self.path.join(name))?;
         self.follow();
+        self.state.borrow_mut().removed = true;
         self.look();
         self.refuse()
     }
@@ -251,7 +331,8 @@
     fn sync_folder(&self) -> io::Result<()> {
         self.refuse()?;
         self.follow();
-        if self.flaw != Flaw::FolderUnsynced {
+        let removed = std::mem::take(&mut self.state.borrow_mut().removed);
+        if self.flaw != Flaw::FolderUnsynced && !(removed && self.flaw == Flaw::RemovalUnsynced) {
             self.folder_synced();
         }
         self.look();
@@ -276,3 +357,31 @@
         result
     }
 }
+
+/// A folder whose syncs do nothing, for a look at what a disk holds.
+#[derive(Clone)]
+pub struct Unsynced(pub DataDir);
+
+impl Folder for Unsynced {
+    fn path(&self) -> &Path {
+        self.0.path()
+    }
+    fn create(&self, name: &str, parts: [&[u8]; 2]) -> io::Result<File> {
+        self.0.create(name, parts)
+    }
+    fn sync(&self, _: &File, _: &str) -> io::Result<()> {
+        Ok(())
+    }
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        self.0.rename(from, to)
+    }
+    fn remove(&self, name: &str) -> io::Result<()> {
+        self.0.remove(name)
+    }
+    fn sync_folder(&self) -> io::Result<()> {
+        Ok(())
+    }
+    fn log<T>(&self, step: LogStep, run: impl FnOnce() -> T) -> T {
+        self.0.log(step, run)
+    }
+}
