Skep: a head comes to the disk no sooner than the entries before it

Cause: a segment could begin with a head that was set behind entries still in memory; after a loss of power the head stood there without them, and a voter's `Ready` without the records that it stands on would let it vote. Change: the writer takes a new head over only once what was taken before it is on disk. Ruled out: leaving that to callers.

--- a/skep/src/journal.rs
+++ b/skep/src/journal.rs
@@ -89,8 +89,9 @@
         self.queue.append(number, &entry, keep_s, urgent)
     }
 
-    /// The entries that each new segment begins with; they replace the last head. Once they are on disk, entries without
-    /// `keep_s` that were appended before this call may be deleted, and so may all heads before.
+    /// The entries that each new segment begins with; they replace the last head. A segment begins with them once all
+    /// entries that were taken before this call are on disk. From then on those of them without `keep_s` may be deleted,
+    /// and so may all heads before, those of earlier starts too: without a head they stay for ever.
     pub fn set_head(&self, entries: Vec<Vec<u8>>) {
         self.queue.set_head(&entries);
     }
--- a/skep/src/journal/queue.rs
+++ b/skep/src/journal/queue.rs
@@ -25,6 +25,7 @@
     /// When the first one of those that wait came.
     since: Instant,
     urgent: bool,
+    /// The newest head.
     head: Arc<Head>,
     /// Number of the last entry that was taken.
     taken: u64,
@@ -37,7 +38,10 @@
 
 /// What the thread that writes does next.
 pub(super) enum Work {
-    Write(Batch),
+    /// A batch, and the head that was set by then: it may cover the batch, and is for segments behind it.
+    Write(Batch, Arc<Head>),
+    /// Nothing waits: the newest head.
+    MaintainWith(Arc<Head>),
     Maintain,
     End,
 }
@@ -85,10 +89,6 @@
         state.head = Arc::new(Head::new(state.taken, entries));
     }
 
-    pub(super) fn head(&self) -> Arc<Head> {
-        self.lock().head.clone()
-    }
-
     pub(super) fn bytes_on_disk(&self) -> u64 {
         self.lock().on_disk.unwrap_or(0)
     }
@@ -113,11 +113,11 @@
         loop {
             let now = Instant::now();
             if maintenance <= now && !state.closed {
-                return Work::Maintain;
+                return state.maintenance();
             }
             let due = state.due();
             if due.is_some_and(|due| due <= now) {
-                return Work::Write(state.take());
+                return state.take();
             }
             if state.closed {
                 return Work::End;
@@ -165,10 +165,18 @@
         (!self.waiting.is_empty()).then_some(if at_once { self.since } else { self.since + GATHER })
     }
 
-    fn take(&mut self) -> Batch {
+    fn take(&mut self) -> Work {
         let batch = std::mem::take(&mut self.waiting);
         self.urgent = false;
         self.in_work = batch.bytes.len();
-        batch
+        Work::Write(batch, self.head.clone())
+    }
+
+    fn maintenance(&self) -> Work {
+        if self.waiting.is_empty() {
+            Work::MaintainWith(self.head.clone())
+        } else {
+            Work::Maintain
+        }
     }
 }
--- a/skep/src/journal/segments.rs
+++ b/skep/src/journal/segments.rs
@@ -78,7 +78,7 @@
         self.segments.iter().map(|segment| segment.bytes).sum()
     }
 
-    /// Writes a batch and syncs it. After an error nothing in it counts as saved: the caller comes back with the same
+    /// Writes a batch and syncs it. No entry that `head` covers may be missing before the batch. After an error nothing in it counts as saved: the caller comes back with the same
     /// batch, for which a new segment is begun.
     pub fn write(&mut self, now: f64, batch: &Batch, head: &Head) -> io::Result<()> {
         if self.fits(now, batch) {
--- a/skep/src/journal/writer.rs
+++ b/skep/src/journal/writer.rs
@@ -1,10 +1,11 @@
 //! The thread that writes.
 
-use super::batch::Batch;
+use super::batch::{Batch, Head};
 use super::queue::{Queue, Work};
 use super::segments::Segments;
 use super::{JournalBounds, Replayed};
 use crate::Folder;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -26,19 +27,26 @@
     if replayed.damaged {
         tracing::error!(event = "journal_damaged");
     }
-    let mut writer = Writer { segments, queue, failing: false };
+    let mut writer = Writer { segments, queue, head: Arc::default(), failing: false };
     queue.note(writer.segments.bytes(), false);
     let _ = found.send(replayed);
     let mut maintenance = Instant::now();
     loop {
         match queue.next(maintenance) {
-            Work::Write(batch) if writer.write(&batch) => drop(saved.send(batch.last())),
-            Work::Write(_) | Work::End => return,
-            Work::Maintain => {
-                writer.maintain();
-                maintenance = Instant::now() + MAINTENANCE;
+            Work::Write(batch, head) => {
+                if !writer.write(&batch) {
+                    return;
+                }
+                writer.head = head;
+                let _ = saved.send(batch.last());
+                continue;
             }
+            Work::MaintainWith(head) => writer.head = head,
+            Work::Maintain => {}
+            Work::End => return,
         }
+        writer.maintain();
+        maintenance = Instant::now() + MAINTENANCE;
     }
 }
 
@@ -66,6 +74,8 @@
 struct Writer<'a, F> {
     segments: Segments<F>,
     queue: &'a Queue,
+    /// The newest head that no entry is missing before.
+    head: Arc<Head>,
     /// The last attempt failed, and that is logged.
     failing: bool,
 }
@@ -74,7 +84,7 @@
     /// Tries until the batch is on disk. False: the queue was closed before.
     fn write(&mut self, batch: &Batch) -> bool {
         loop {
-            let written = self.segments.write(self.queue.now(), batch, &self.queue.head());
+            let written = self.segments.write(self.queue.now(), batch, &self.head);
             self.queue.note(self.segments.bytes(), written.is_ok());
             if self.went_well(written) {
                 return true;
@@ -88,7 +98,7 @@
     }
 
     fn maintain(&mut self) {
-        let maintained = self.segments.maintain(self.queue.now(), &self.queue.head());
+        let maintained = self.segments.maintain(self.queue.now(), &self.head);
         self.queue.note(self.segments.bytes(), false);
         self.went_well(maintained);
     }
--- a/skep/tests/journal.rs
+++ b/skep/tests/journal.rs
@@ -246,6 +246,29 @@
     assert_eq!(asked, [Operation::Append, Operation::SyncData].repeat(2));
 }
 
+/// What is found after a loss of power is always what was handed over up to some moment.
+#[test]
+fn a_head_is_on_disk_no_sooner_than_the_entries_before_it() {
+    let place = Place::new("head-waits");
+    let folder = Faulty::new(&place);
+    let bounds = JournalBounds { segment_bytes: 1, ..BOUNDS };
+    let (journal, _, mut saved) = opened(Journal::open_on(folder.clone(), bounds).unwrap());
+    folder.set(|faults| *faults = Faults { stalled: true, ..Faults::default() });
+    assert!(journal.append(1, entry(1), HOUR, true));
+    folder.wait_asked(Operation::Create, 1);
+    assert!(journal.append(2, entry(2), HOUR, true));
+    journal.set_head(vec![b"head".to_vec()]);
+    folder.set(|faults| faults.stalled = false);
+    wait_saved(&mut saved, 2);
+    assert!(journal.append(3, entry(3), HOUR, true));
+    wait_saved(&mut saved, 3);
+    let heads = |file: PathBuf| fs::read(file).unwrap().windows(4).any(|bytes| bytes == b"head");
+    let heads: Vec<bool> = place.files().into_iter().map(heads).collect();
+    assert_eq!(heads, [false, false, true]);
+    let expected = [entry(1), entry(2), b"head".to_vec(), entry(3)];
+    assert_eq!(place.found().entries, expected);
+}
+
 #[test]
 fn what_waits_for_a_stalled_disk_is_bounded() {
     const ENTRY: usize = 1 << 20;
