--- a/hive/src/founding.rs
+++ b/hive/src/founding.rs
@@ -48,6 +48,11 @@
     }
 
     /// Founds the core anew from what this member holds; the error says why not.
+    ///
+    /// The electorate of operations follows by the index of the value, which rises: from then on this member alone counts,
+    /// and the incarnations of the others end, so that they learn before they count again. Keys that only others had
+    /// granted are free again. Two old members that come back together may carry claims of gateways that know only the
+    /// old electorate, until they hear of the new one.
     pub fn found_anew(&self, newest: Ballot) -> Result<(), String> {
         let founded = self.agree.found_anew(newest);
         match founded {
