Skep: the power-loss plays end the program without a loss of power as well

Change: a start may end at any operation, or where a sync fails, and the next one opens what the machine's cache holds. In the model a byte that is written again after a failed sync counts as to be synced, in `create` as well.

--- a/skep/tests/power/journal.rs
+++ b/skep/tests/power/journal.rs
@@ -18,7 +18,7 @@
 /// Losses of power in a row.
 const LIVES: usize = 3;
 /// Starts of the program between two of them.
-const RUNS: usize = 2;
+const RUNS: usize = 3;
 const SEEDS: u64 = 10;
 
 /// Entries are numbered over all lives; a head bears the number of the last entry before it.
@@ -138,19 +138,26 @@
     }
 }
 
-/// One start of the program; what it can't write it leaves.
+/// One start of the program, which may end at any operation.
 fn run(folder: &Shadow, seen: &RefCell<Seen>, rng: &mut Rng) {
+    folder.end_after(None);
     let now = seen.borrow().owed.now;
-    let open = || Segments::open(folder.clone(), BOUNDS, now).ok();
+    let open = || {
+        folder.end_after(None);
+        Segments::open(folder.clone(), BOUNDS, now).ok()
+    };
     let (mut segments, found) = (0..1_000).find_map(|_| open()).expect("a folder");
     {
         let mut seen = seen.borrow_mut();
         seen.wrong = seen.wrong.take().or(seen.owed.wrong(&found));
         seen.owed.owe(&found);
     }
+    if folder.flaw == Flaw::None && rng.bool() {
+        folder.end_after(Some(rng.u32(..60)));
+    }
     let mut number = 0;
     let mut head = Head::default();
-    for _ in 0..rng.usize(4..20) {
+    for _ in 0..rng.usize(4..16) {
         let step = if rng.u8(..6) == 0 { 9.0 } else { f64::from(rng.u8(..4)) / 2.0 };
         seen.borrow_mut().owed.now += step;
         let now = seen.borrow().owed.now;
@@ -211,6 +218,7 @@
         let mut folder = Shadow::new(dir.clone(), &disk, flaw, look);
         // one disk of two refuses now and then
         folder.refuses = if flaw == Flaw::None && seed % 2 == 1 { 6 } else { 0 };
+        folder.ends_on_failed_sync = true;
         (0..RUNS).for_each(|_| run(&folder, &seen, &mut rng));
         let mut seen = seen.borrow_mut();
         looks += seen.looks;
--- a/skep/tests/power/shadow.rs
+++ b/skep/tests/power/shadow.rs
@@ -61,6 +61,8 @@
     synced: BTreeMap<String, usize>,
     now: BTreeMap<String, usize>,
     changes: Vec<Change>,
+    /// The program ends after so many operations; none: it goes on.
+    ends_after: Option<u32>,
     /// Something was removed since the last sync of the folder.
     removed: bool,
 }
@@ -72,11 +74,13 @@
 #[derive(Clone)]
 pub struct Shadow {
     path: PathBuf,
-    flaw: Flaw,
+    pub flaw: Flaw,
     state: Rc<RefCell<State>>,
     look: Look,
     /// One of so many operations fails, before or after it did anything; 0: none.
     pub refuses: u32,
+    /// Now and then the program ends where a sync fails.
+    pub ends_on_failed_sync: bool,
     dice: Rc<RefCell<Rng>>,
 }
 
@@ -173,11 +177,35 @@
         }
         state.synced = state.now.clone();
         let dice = Rc::new(RefCell::new(Rng::with_seed(synced.len() as u64)));
-        Shadow { path, flaw, state: Rc::new(RefCell::new(state)), look, refuses: 0, dice }
+        Shadow {
+            path,
+            flaw,
+            state: Rc::new(RefCell::new(state)),
+            look,
+            refuses: 0,
+            ends_on_failed_sync: false,
+            dice,
+        }
+    }
+
+    /// The program ends after so many operations, while the machine goes on: all that follow fail, until this is
+    /// called with none.
+    pub fn end_after(&self, operations: Option<u32>) {
+        self.state.borrow_mut().ends_after = operations;
+    }
+
+    fn ended(&self) -> bool {
+        self.state.borrow().ends_after == Some(0)
     }
 
     /// Whether an operation is to fail here.
     fn refuse(&self) -> io::Result<()> {
+        if let Some(left) = &mut self.state.borrow_mut().ends_after {
+            *left = left.saturating_sub(1);
+        }
+        if self.ended() {
+            return Err(io::ErrorKind::Interrupted.into());
+        }
         let refuses = self.refuses > 0 && self.dice.borrow_mut().u32(..2 * self.refuses) == 0;
         if refuses {
             Err(io::Error::from_raw_os_error(5))
@@ -202,7 +230,10 @@
         }
         for (name, bytes) in now {
             match state.now.get(&name).copied() {
-                Some(file) => state.files[file].now = bytes,
+                Some(file) => {
+                    state.files[file].dropped.truncate(bytes.len());
+                    state.files[file].now = bytes;
+                }
                 None => {
                     let file = state.files.len();
                     state.files.push(Content { now: bytes, ..Content::default() });
@@ -254,7 +285,9 @@
         self.look();
         for part in parts {
             file.write_all(part)?;
+            let end = file.stream_position()? as usize;
             self.follow();
+            self.wrote(name, end - part.len()..end);
             self.look();
         }
         self.refuse()?;
@@ -263,7 +296,12 @@
 
     fn sync(&self, _: &File, name: &str) -> io::Result<()> {
         if let Err(e) = self.refuse() {
-            self.sync_failed(name);
+            if !self.ended() {
+                self.sync_failed(name);
+                if self.ends_on_failed_sync && self.dice.borrow_mut().u8(..4) == 0 {
+                    self.end_after(Some(0));
+                }
+            }
             return Err(e);
         }
         if self.flaw != Flaw::SnapshotUnsynced {
