Operations: a voter gives no head while its readiness is on its way to the disk

Cause: a head replaces all entries without a time before it. Change: `Voter::head` gives none during that. Ruled out: a head with `Ready` before it is on disk, which rests on the caller handing over the records first.

--- a/operations/src/voter.rs
+++ b/operations/src/voter.rs
@@ -157,14 +157,18 @@
         ready && self.electorate.incarnation(self.settings.me) == self.incarnation
     }
 
-    /// The entries that each new file of the journal begins with.
-    pub fn head(&self) -> Vec<Entry> {
+    /// The entries that each new file of the journal begins with; they replace all entries without a time before them.
+    /// None while the one that says that this voter may vote is on its way to the disk: no head may replace that one yet.
+    pub fn head(&self) -> Option<Vec<Entry>> {
+        if matches!(self.role, Role::Recording(_)) {
+            return None;
+        }
         let mut head = vec![Entry::Electorate(self.electorate.clone())];
         if matches!(self.role, Role::Ready) {
             let Incarnation { number, nonce } = self.incarnation;
             head.push(Entry::Ready { incarnation: number, nonce });
         }
-        head
+        Some(head)
     }
 
     /// Whether it takes part in votes.
