--- a/skep/src/lib.rs
+++ b/skep/src/lib.rs
@@ -5,6 +5,8 @@
 //! whose snapshot was spoilt is told apart from an empty one ([`Found::Spoilt`]): its member has lost its memory
 //! and must learn as after the loss of its disk, but it may not found anything.
 //!
+//! A [`Journal`] beside it holds many small entries that are each needed for some time.
+//!
 //! [`FolderLock`] keeps a second process off the folder. [`Store`] runs a [`Disk`] on a thread of its own, so that a disk that stalls stops neither probes nor answers.
 
 mod disk;
