--- a/hive/src/operations.rs
+++ b/hive/src/operations.rs
@@ -188,10 +188,11 @@
                 }
             }
         }
-        // after the entries of this turn: the journal may drop those that the head stands for. Readiness is in the head
-        // only once its entry is on disk, which changes how the voter stands.
+        // after the entries of this turn: the journal may drop those that the head stands for
         if self.standing_changed() || head_changed {
-            self.recorder.set_head(&self.voter.borrow().head());
+            if let Some(head) = self.voter.borrow().head() {
+                self.recorder.set_head(&head);
+            }
         }
         self.wake_in_time();
     }
