Hive: a test waits for the state that it kills behind, and one on losing that state alone

The member is right to abstain; the test did not wait for that state.

Change: the test waits for the state on disk; a new one removes the state alone and sees the member abstain until it has learnt.

--- a/hive/tests/operations.rs
+++ b/hive/tests/operations.rs
@@ -149,6 +149,11 @@
     files
 }
 
+/// Waits until the state of the agreement is on the disk of a member.
+fn has_state(core: &Members, i: usize) {
+    until("its state", || core.data(i).join("snapshot").exists().then_some(()));
+}
+
 fn kill_all(core: &mut Members) {
     ALL.into_iter().for_each(|i| core.kill(i));
 }
@@ -225,7 +230,7 @@
     core.logged(newcomer, "event=started");
     core.logged(newcomer, "event=operations_learning");
     core.logged(newcomer, "event=operations_voting records=1");
-    until("its state", || core.data(newcomer).join("snapshot").exists().then_some(()));
+    has_state(&core, newcomer);
 }
 
 #[test]
@@ -243,6 +248,8 @@
     ALL.into_iter().filter(|&i| i != wiped).for_each(|i| core.start(i, false));
     gateway.learns(wiped, 1, first);
     core.logged(wiped, "event=operations_voting records=1");
+    // without a state of the agreement the journal alone would not do
+    has_state(&core, wiped);
     // what it learnt is on its own disk
     kill_all(&mut core);
     core.start(wiped, false);
@@ -274,6 +281,26 @@
     gateway.learns(hurt, 1, first);
 }
 
+#[test]
+fn a_member_that_lost_its_state_of_the_agreement_alone_abstains_until_it_has_learnt() {
+    let mut core = Members::found(None);
+    let mut gateway = Gateway::of(&core);
+    let (first, granted) = gateway.granted(1);
+    kill_all(&mut core);
+    let hurt = granted[0];
+    for file in fs::read_dir(core.data(hurt)).unwrap().map(|file| file.unwrap().path()) {
+        let name = file.file_name().unwrap().to_string_lossy().into_owned();
+        if name == "snapshot" || name.starts_with("wal-") {
+            fs::remove_file(file).unwrap();
+        }
+    }
+    core.start(hurt, false);
+    gateway.abstains(hurt, 1);
+    gateway.abstains(hurt, 2);
+    ALL.into_iter().filter(|&i| i != hurt).for_each(|i| core.start(i, false));
+    gateway.learns(hurt, 1, first);
+}
+
 #[test]
 fn a_member_with_the_folder_of_another_abstains_until_it_has_learnt() {
     let mut core = Members::found(None);
@@ -299,7 +326,7 @@
     let mut core = Members::found(None);
     let mut gateway = Gateway::of(&core);
     gateway.granted(1);
-    ALL.into_iter().for_each(|i| until("its state", || core.data(i).join("snapshot").exists().then_some(())));
+    ALL.into_iter().for_each(|i| has_state(&core, i));
     kill_all(&mut core);
     for i in ALL {
         journal(&core.data(i)).into_iter().for_each(|file| fs::remove_file(file).unwrap());
