--- a/operations/src/claims.rs
+++ b/operations/src/claims.rs
@@ -88,7 +88,7 @@
     start: u32,
     sequence: u64,
     now: f64,
-    /// The newest last.
+    /// The one heard of last at the end.
     electorates: Vec<(ElectorateId, Electorate)>,
     /// Smoothed seconds from a claim to its vote.
     vote_times: HashMap<Node, f64>,
@@ -260,16 +260,11 @@
         })
     }
 
+    /// Votes are given under this electorate now.
     fn remember(&mut self, electorate: Electorate) {
         let id = electorate.id();
-        if self.electorates.iter().any(|known| known.0 == id) {
-            return;
-        }
-        let newer = |known: &Electorate| {
-            (known.index, &known.incarnations) <= (electorate.index, &electorate.incarnations)
-        };
-        let at = self.electorates.iter().take_while(|known| newer(&known.1)).count();
-        self.electorates.insert(at, (id, electorate));
+        self.electorates.retain(|known| known.0 != id);
+        self.electorates.push((id, electorate));
         if self.electorates.len() > ELECTORATES_MOST {
             self.electorates.remove(0);
         }
