--- a/hive/src/agree.rs
+++ b/hive/src/agree.rs
@@ -4,7 +4,7 @@
 use lupinledge_invariants::{check, Invariant};
 use lupinledge_messaging::{Post, Word};
 use lupinledge_propolis::Document;
-use lupinledge_queen::{Ballot, Kept, Msg, Node, NotFounded, Out, Outcome, Queen, Settings};
+use lupinledge_queen::{Ballot, Kept, Msg, Node, NotFounded, Out, Outcome, Queen, Settings, Value};
 use lupinledge_skep::{Found, Saved, Store};
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
@@ -37,11 +37,15 @@
     }
 }
 
+/// Told each committed value with its index; the same index may come again with the same value.
+pub type OnValue = Box<dyn Fn(u64, &Value)>;
+
 pub struct Agree {
     clock: Rc<Clock>,
     queen: RefCell<Queen>,
     store: Store,
     post: OnceCell<Rc<Post>>,
+    on_value: OnceCell<OnValue>,
     waiting: RefCell<BTreeMap<u64, oneshot::Sender<Outcome>>>,
     tickets: Cell<u64>,
     agreed: RefCell<Option<Rc<Agreed>>>,
@@ -83,6 +87,7 @@
             queen: RefCell::new(queen),
             store,
             post: OnceCell::new(),
+            on_value: OnceCell::new(),
             waiting: RefCell::default(),
             tickets: Cell::new(0),
             agreed: RefCell::default(),
@@ -99,8 +104,9 @@
     }
 
     /// From here on words go out, and what is due is done.
-    pub fn run(self: &Rc<Agree>, post: Rc<Post>, mut ends: UnboundedReceiver<Saved>) {
+    pub fn run(self: &Rc<Agree>, post: Rc<Post>, mut ends: UnboundedReceiver<Saved>, on_value: OnValue) {
         let _ = self.post.set(post);
+        let _ = self.on_value.set(on_value);
         let agree = self.clone();
         tokio::task::spawn_local(async move {
             while let Some((ticket, ok)) = ends.recv().await {
@@ -147,7 +153,12 @@
                     Ok(state) => self.store.save(ticket, state),
                     Err(e) => tracing::error!(event = "unsaved", fault = %e),
                 },
-                Out::Committed(ballot, value) => news |= self.committed(ballot, &value.body),
+                Out::Committed(ballot, value) => {
+                    if let Some(on_value) = self.on_value.get() {
+                        on_value(ballot.index, &value);
+                    }
+                    news |= self.committed(ballot, &value.body);
+                }
                 Out::Won(epoch) => tracing::info!(event = "won", epoch),
                 Out::Lost => tracing::info!(event = "lost"),
                 Out::Done { ticket, how } => {
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -7,6 +7,7 @@
 use crate::counts::Counts;
 use crate::directory::Directory;
 use crate::nodes;
+use crate::operations::{Beginning, Operations};
 use eyre::{eyre, WrapErr};
 use lupinledge_gossip::{metrics, seeds_of, Gossip, Host, News, Source};
 use lupinledge_messaging::list::List;
@@ -51,6 +52,7 @@
     /// The homes of hosts, and of which document.
     homes: RefCell<(Option<Ballot>, Homes)>,
     counts: Rc<Counts>,
+    operations: Rc<Operations>,
     _lock: FolderLock,
 }
 
@@ -66,7 +68,7 @@
         let platform = platform_of(&settings)?;
         let owner = format!("{} (process {})", settings.ip, std::process::id());
         let lock = FolderLock::take(folder.clone(), owner, FOLDER_WAIT).await.wrap_err("`data_dir`")?;
-        let Opened { store, found, ends } = Store::open(DataDir(folder))?;
+        let Opened { store, found, ends } = Store::open(DataDir(folder.clone()))?;
         let found = found.await.wrap_err("`data_dir`")?;
         let empty = !matches!(found, Found::State(_));
 
@@ -77,6 +79,9 @@
             lupinledge_queen::Settings { me: clock.me, seeds, bootstrap: settings.bootstrap, seed, tolerate };
         let agree = Agree::start(clock.clone(), founding, found, store).wrap_err("`data_dir`")?;
         let empty = empty || agree.amnesiac();
+        let beginning =
+            Beginning { folder, limits: settings.limits.clone(), seed, learns: agree.amnesiac() };
+        let operations = Operations::start(clock.clone(), beginning).await.wrap_err("`data_dir`")?;
         let card = Card {
             core: true,
             region: settings.region.clone(),
@@ -107,13 +112,16 @@
             directory: Directory::default(),
             homes: RefCell::default(),
             counts,
+            operations: operations.clone(),
             _lock: lock,
         });
         let host: Rc<dyn Host> = hive.clone();
         gossip.attend(Rc::downgrade(&host));
         hive.counts.run(gossip.clone());
         tokio::task::spawn_local(gossip.clone().run());
-        agree.run(gossip.post().clone(), ends);
+        operations.run(gossip.post().clone());
+        let on_value = move |index, value: &_| operations.committed(index, value);
+        agree.run(gossip.post().clone(), ends, Box::new(on_value));
         tokio::task::spawn_local(hive.clone().tell());
         tokio::task::spawn_local(hive.clone().upkeep());
         tracing::info!(event = "started", node = %hive.settings.borrow().ip, port, empty);
@@ -189,6 +197,7 @@
             line("servers.list_number", list.number.1);
             line("servers.listed", list.rows.len() as u64);
             line("servers.unreadable", self.brood.unreadable.get());
+            self.operations.figures(line);
             self.gossip.figures(line);
         })
     }
@@ -293,6 +302,7 @@
             Word::Told { incarnation, told, epoch, part } => {
                 self.counts.told((from, incarnation), epoch, &told, part)
             }
+            Word::Operation(message) => self.operations.heard(from, message),
             Word::Clock { sent } if self.agree.leads().is_some() => {
                 self.gossip.post().cast(from, &Word::ClockIs { sent, hive: self.clock.hive() });
             }
--- a/hive/src/main.rs
+++ b/hive/src/main.rs
@@ -10,6 +10,7 @@
 mod founding;
 mod hive;
 mod nodes;
+mod operations;
 mod operator;
 mod platform;
 mod run;
