Configuration: the route kind keyed, and the key window of the settings

Change: a kind of its own in tables and prints, treated like non_idempotent by the decisions; bounds.key_window_s, 60 where it is missing, above 0 and 3000 at the most. dedupes of a cluster is read over: such a service is treated like any other, which is safe. Prints keep their form: those of configurations that older builds read did not change. Ruled out: reading keyed as non_idempotent, since the door has to tell them apart.

--- a/forager/src/terms.rs
+++ b/forager/src/terms.rs
@@ -82,7 +82,8 @@
     Frontend {
         effect: match r.kind {
             RouteKind::Idempotent => Effect::Replayable,
-            RouteKind::NonIdempotent => Effect::NonReplayable,
+            // a repeat under the same key is claimed before it comes here; each request is sent once
+            RouteKind::NonIdempotent | RouteKind::Keyed => Effect::NonReplayable,
         },
         group: Group::All,
         memory: Span::ZERO,
--- a/forager/src/terms/tests.rs
+++ b/forager/src/terms/tests.rs
@@ -26,6 +26,27 @@
     }
 }
 
+/// TWICE: of a keyed route nothing is sent again that may have run.
+#[test]
+fn keyed_requests_are_not_replayed() {
+    let route = |kind| Route {
+        name: "r".into(),
+        key: "a.example/".into(),
+        host_len: 9,
+        services: vec![(0, 1.0)],
+        kind,
+        timeout: 5.0,
+        target: 1.0,
+        priority: 0,
+        public: false,
+        max_attempts: 2,
+        homes: Vec::new(),
+    };
+    let replayable = |kind| matches!(frontend(&route(kind)).effect, Effect::Replayable);
+    let kinds = [RouteKind::Idempotent, RouteKind::NonIdempotent, RouteKind::Keyed];
+    assert_eq!(kinds.map(replayable), [true, false, false]);
+}
+
 /// A name keeps its place through changes; a place is given to another only when nothing open can mean the
 /// first.
 #[test]
--- a/propolis/src/config.rs
+++ b/propolis/src/config.rs
@@ -174,6 +174,8 @@
     Idempotent,
     /// Requests run at most once for each try.
     NonIdempotent,
+    /// Requests of a tenant that share an operation key run at most once between them.
+    Keyed,
 }
 
 /// Which requests a route takes.
--- a/propolis/src/print.rs
+++ b/propolis/src/print.rs
@@ -181,6 +181,7 @@
     let kind = match r.kind {
         RouteKind::Idempotent => 1,
         RouteKind::NonIdempotent => 2,
+        RouteKind::Keyed => 3,
     };
     let h = Hash::new().text(&r.name).text(&r.key).set(r.services.iter().map(part)).num(kind);
     let h = h.figure(r.timeout).figure(r.target).num(r.priority as u64).num(r.public as u64);
--- a/propolis/src/settings.rs
+++ b/propolis/src/settings.rs
@@ -8,6 +8,11 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 
+/// Where no key window is told, seconds.
+const KEY_WINDOW: f64 = 60.0;
+/// The longest key window, seconds: keys are kept in memory for that long.
+const KEY_WINDOW_MOST: f64 = 3000.0;
+
 /// What a process is told at its start, and again after SIGHUP.
 #[derive(Clone, Debug, Deserialize, Validate)]
 pub struct Settings {
@@ -181,6 +186,9 @@
         #[serde(default)]
         pub struct Bounds {
             $($(#[$doc])* #[garde(custom(not_negative))] pub $name: f64,)*
+            /// For how long after its first request an operation key runs once.
+            #[garde(custom(key_window))]
+            pub key_window_s: f64,
             /// Whether a node that is cut off has to stop serving keys it can't confirm.
             #[garde(skip)]
             pub revoked_closed: bool,
@@ -188,7 +196,7 @@
 
         impl Default for Bounds {
             fn default() -> Self {
-                Bounds { $($name: $value,)* revoked_closed: false }
+                Bounds { $($name: $value,)* key_window_s: KEY_WINDOW, revoked_closed: false }
             }
         }
     };
@@ -255,6 +263,13 @@
     0.8
 }
 
+fn key_window(seconds: &f64, _: &()) -> garde::Result {
+    match *seconds > 0.0 && *seconds <= KEY_WINDOW_MOST {
+        true => Ok(()),
+        false => Err(garde::Error::new(format!("has to be above 0, and {KEY_WINDOW_MOST} at most"))),
+    }
+}
+
 fn told(ip: &Ipv4Addr, _: &()) -> garde::Result {
     match ip.is_unspecified() {
         true => Err(garde::Error::new("has to be the machine's own address")),
--- a/propolis/tests/invalid.rs
+++ b/propolis/tests/invalid.rs
@@ -36,6 +36,8 @@
 #[test_case(second("x"), "listeners[1].rules[1].match.path_prefix" ; "same_place")]
 #[test_case(with("/listeners/2", json!({"host": "JEPU9.example:80", "rules": [example().pointer(RULE)]})), "listeners[2].rules[0].match.path_prefix" ; "same_place_apart")]
 #[test_case(with(&format!("{RULE}/route_kind"), json!("sometimes")), "listeners[0].rules[0].route_kind" ; "odd_kind")]
+#[test_case(with(&format!("{RULE}/route_kind"), json!("Keyed")), "listeners[0].rules[0].route_kind" ; "kind_in_capitals")]
+#[test_case(with(&format!("{RULE}/route_kind"), json!("keyed ")), "listeners[0].rules[0].route_kind" ; "kind_with_a_space")]
 #[test_case(with(&format!("{RULE}/route_kind"), Value::Null), "listeners[0].rules[0].route_kind" ; "null_kind")]
 #[test_case(with(&format!("{RULE}/match/path_prefix"), json!("lepu270/")), "listeners[0].rules[0].match.path_prefix" ; "bare_prefix")]
 #[test_case(with(&format!("{RULE}/match/path_prefix"), json!("/lepu270")), "listeners[0].rules[0].match.path_prefix" ; "open_prefix")]
@@ -81,6 +83,11 @@
     check(&bytes(&lean), None).unwrap();
     let zero = with(&format!("{RULE}/action/split/0/weight"), json!(0));
     check(&bytes(&zero), Some(5)).unwrap();
+    for kind in ["idempotent", "non_idempotent", "keyed"] {
+        check(&bytes(&with(&format!("{RULE}/route_kind"), json!(kind))), Some(5)).unwrap();
+    }
+    let deduplicating = with("/clusters/0/dedupes", json!(true));
+    check(&bytes(&deduplicating), Some(5)).unwrap();
     for other in ["/lepu270/a/", "/", "/LEPU270/"] {
         check(&bytes(&with(&format!("{RULE}/match/path_prefix"), json!(other))), Some(5)).unwrap();
     }
--- a/propolis/tests/model.rs
+++ b/propolis/tests/model.rs
@@ -3,6 +3,8 @@
 mod common;
 
 use common::{bytes, document, example, zones};
+use lupinledge_propolis::config::RouteKind;
+use lupinledge_propolis::plain::{way, Probe};
 use lupinledge_propolis::{check, Config, Document, Settings, Tables, Verdict};
 use serde_json::{json, Value};
 
@@ -142,6 +144,9 @@
     let action = "/listeners/0/rules/0/action";
     assert_eq!(changed(&format!("{action}/split/0/weight"), json!(91)), [true, false, false, false]);
     assert_eq!(changed(&format!("{action}/timeout_s"), json!(3.5)), [true, false, false, false]);
+    let kind = "/listeners/1/rules/0/route_kind";
+    assert_eq!(changed(kind, json!("idempotent")), [true, false, false, false]);
+    assert_eq!(changed(kind, json!("keyed")), [true, false, false, false]);
     assert_eq!(changed("/listeners/0/host", json!("x")), [true, false, false, false]);
     assert_eq!(changed("/tenants/0/api_keys/0", json!("x")), [false, true, false, false]);
     assert_eq!(changed("/tenants/0/rate_per_s", json!(62)), [false, true, false, false]);
@@ -177,6 +182,23 @@
     assert!(tenant.is_some_and(|t| t.customer > 0 && t.customer < 1 << 40));
 }
 
+#[test]
+fn the_kind_of_a_route_is_in_tables_and_plain_reading() {
+    for (name, kind) in [
+        ("idempotent", RouteKind::Idempotent),
+        ("non_idempotent", RouteKind::NonIdempotent),
+        ("keyed", RouteKind::Keyed),
+    ] {
+        let mut config = example();
+        config["listeners"][0]["rules"][0]["route_kind"] = json!(name);
+        let tables = Tables::new(&document(&config), &zones()).unwrap();
+        let route = tables.route("jepu9.example", "/lepu270/").unwrap();
+        let read = Config::read(&bytes(&config)).unwrap();
+        let probe = Probe { host: "jepu9.example".into(), path: "/lepu270/".into(), key: None };
+        assert_eq!((route.kind, way(&read, &probe).unwrap().kind), (kind, kind));
+    }
+}
+
 #[test]
 fn no_bytes_make_it_panic() {
     bolero::check!().with_type::<(u64, Vec<u8>)>().with_iterations(2000).for_each(|(seed, raw)| {
