--- a/skep/tests/journal.rs
+++ b/skep/tests/journal.rs
@@ -6,11 +6,14 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+use tokio::sync::mpsc::error::TryRecvError;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 const BOUNDS: JournalBounds =
     JournalBounds { segment_bytes: 1 << 20, segment_seconds: 3600.0, bytes_most: 64 << 20 };
+/// Who waits longer waits in vain.
+const ENDLESS: Duration = Duration::from_secs(60);
 const HOUR: Option<f64> = Some(3600.0);
 
 /// A folder of its own, removed when dropped.
@@ -66,8 +69,14 @@
 /// Waits until this number is told; returns the numbers that were told on the way.
 fn wait_saved(saved: &mut UnboundedReceiver<u64>, number: u64) -> Vec<u64> {
     let mut told = Vec::new();
+    let since = Instant::now();
     while told.last() != Some(&number) {
-        told.push(saved.blocking_recv().expect("the thread has ended"));
+        match saved.try_recv() {
+            Ok(number) => told.push(number),
+            Err(TryRecvError::Disconnected) => panic!("the thread has ended"),
+            Err(_) => std::thread::sleep(Duration::from_millis(1)),
+        }
+        assert!(since.elapsed() < ENDLESS, "{number} is not told, {told:?} were");
     }
     told
 }
@@ -125,7 +134,8 @@
     fn wait_asked(&self, operation: Operation, times: usize) {
         let few =
             |faults: &mut Faults| faults.asked.iter().filter(|asked| **asked == operation).count() < times;
-        drop(self.1 .1.wait_while(self.1 .0.lock().unwrap(), few).unwrap());
+        let waited = self.1 .1.wait_timeout_while(self.1 .0.lock().unwrap(), ENDLESS, few).unwrap();
+        assert!(!waited.1.timed_out(), "{operation:?} is not asked for {times} times");
     }
 
     fn pass(&self, operation: Operation) -> io::Result<()> {
@@ -343,12 +353,13 @@
     for number in 1..=60 {
         while !journal.append(number, vec![number as u8; 1_000], Some(0.05), true) {
             refused += 1;
+            assert!(refused < 12_000, "it stays full");
             std::thread::sleep(Duration::from_millis(5));
         }
-        wait_saved(&mut saved, number);
         let files: u64 = place.files().iter().filter_map(|file| Some(fs::metadata(file).ok()?.len())).sum();
         assert!(files <= bounds.bytes_most && journal.bytes() <= bounds.bytes_most, "{files}");
     }
+    wait_saved(&mut saved, 60);
     assert!(refused > 0, "it was never full");
     // nor is one that is full when it is opened full for ever
     drop(journal);
@@ -357,6 +368,8 @@
     journal.set_head(vec![vec![2; 100]]);
     assert!(!journal.append(1, entry(1), HOUR, true));
     while !journal.append(1, entry(1), HOUR, true) {
+        refused += 1;
+        assert!(refused < 24_000, "it stays full");
         std::thread::sleep(Duration::from_millis(5));
     }
     wait_saved(&mut saved, 1);
