Gateway: requests with an operation key run once over all gateways

Change: the door claims the key at the voters before the request goes to its pool, and records its answer; a repeat gets that answer from here, from the gateway that ran it, or from the voter that keeps a copy; while the first runs it waits, then 409; an unknown outcome is 502 and is not run again. A claim that has not run is released. The run is a task of its own: a client that leaves does not end it, and SIGTERM waits for it. The request is placed by the tables in force once its claim is granted. Ruled out: placing it before the claim (evacuations and revoked keys would count from then on); cancelling with the client (the outcome would be lost to its repeat).

--- a/forager/src/door.rs
+++ b/forager/src/door.rs
@@ -2,23 +2,26 @@
 //! goes to its service's pool. Here is no decision: what is not proper is refused, the rest is the pools'.
 
 use crate::failures::{Failure, Failures};
+use crate::operations::{self, Ended, KeptAnswer, Operations};
 use crate::pools::Pools;
-use crate::wire::{Carried, Made, ATTEMPT, DEADLINE};
+use crate::wire::{Carried, Made, Trail, ATTEMPT, DEADLINE, OPERATION_KEY};
 use hyper::body::Incoming;
 use hyper::header::{HeaderMap, HeaderValue, AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use lupinledge::link::NewReq;
-use lupinledge::time::Span;
+use lupinledge::time::{Point, Span};
 use lupinledge_comb::clients::{bare, say, text, whole, whole_counted, Answering, Reply, Unread};
-use lupinledge_comb::exchange::Answer;
+use lupinledge_comb::exchange::{Answer, Attempt, Exchange, Ticket};
 use lupinledge_comb::ids::Ids;
-use lupinledge_comb::transport::body::Memory;
+use lupinledge_comb::transport::body::{Memory, Taken};
 use lupinledge_comb::transport::heads::Heads;
+use lupinledge_operations::{Fingerprint, Key};
 use lupinledge_propolis::config::RouteKind;
 use lupinledge_propolis::{Route, Tables, Tenant};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 /// Before the process is ready a body is read up to here, so that the answer is not lost in a reset.
@@ -38,12 +41,22 @@
 /// Seconds after which one whose body found no room may come back.
 const NO_ROOM: f64 = 0.2;
 
+/// Seconds after which one may come back for which too few voters answered.
+const NO_MAJORITY: f64 = 0.3;
+
+/// Bytes of the longest operation key.
+const OPERATION_KEY_MOST: usize = 256;
+
+/// An operation key stays taken for so many seconds more than its window and its request last.
+const KEY_MARGIN: f64 = 2.0;
+
 /// For so many seconds at least, and up to 16,384 of them, the ids of requests that may run once are remembered.
 const REMEMBERED: f64 = 30.0;
 
 /// See the module.
 pub struct Door {
     pools: Rc<Pools>,
+    operations: Rc<Operations>,
     /// Those that may have run.
     ids: RefCell<Ids>,
     failures: Failures,
@@ -54,16 +67,32 @@
     pub closing: Cell<bool>,
 }
 
+/// What is kept of a request's head until it is handed to a pool.
+#[derive(Clone)]
+struct Asked {
+    came: Point,
+    /// Seconds that it had then.
+    left: f64,
+    /// Where it falls between the parts of a split, from 0 to 1.
+    split: f64,
+    host: String,
+    path: String,
+    /// Its API key.
+    token: Option<String>,
+    attempt_id: Option<HeaderValue>,
+}
+
 /// The connection can't be used after it.
 type Refusal = Box<Reply>;
 
 impl Door {
-    pub fn new(pools: Rc<Pools>, memory_mb: f64, seed: u64) -> Rc<Door> {
+    pub fn new(pools: Rc<Pools>, operations: Rc<Operations>, memory_mb: f64, seed: u64) -> Rc<Door> {
         let memory = Memory::of((memory_mb * 1e6 * BODIES) as usize);
         let split = Cell::new(fastrand::Rng::with_seed(seed).f64());
         let closing = Cell::new(false);
         Rc::new(Door {
             pools,
+            operations,
             ids: RefCell::default(),
             failures: Failures::default(),
             split,
@@ -83,10 +112,12 @@
         let route = tables
             .route(&host, head.uri.path())
             .ok_or_else(|| refuse(StatusCode::NOT_FOUND, "no such route"))?;
-        let tenant = tenant(&tables, route, &head.headers)?;
+        let tenant = tenant(&tables, route, token(&head.headers))?;
         if head.headers.get_all(&ATTEMPT).iter().count() != 1 {
             return Err(refuse(StatusCode::BAD_REQUEST, "Lupinledge-Attempt-Id: one is needed"));
         }
+        let keyed = route.kind == RouteKind::Keyed;
+        let operation_key = keyed.then(|| operation_key(&head.headers)).transpose()?;
         let left = match head.headers.get(&DEADLINE) {
             None => route.timeout,
             Some(v) => {
@@ -122,45 +153,35 @@
         if let Some(fault) = heads.fault() {
             return Err(refuse(StatusCode::BAD_REQUEST, fault));
         }
-        let service = route.choose(self.next_of_split()).and_then(|i| tables.services().get(i));
-        let pool = service.and_then(|s| self.pools.pool(&s.name, route, tenant));
-        let Some((pool, frontend, plan)) = pool else { return Ok(later(0.5)) };
-        let left = Span::from_secs(left.min(route.timeout)) - (self.pools.clock.now() - came);
-        let new = NewReq {
-            id: 0,
-            frontend,
-            repeat: false,
-            units: 1.0,
-            customer: tenant.map_or(0, |t| t.customer),
-            plan,
-            spread: self.pools.spread(),
-            left,
-            zones: self.pools.zones(&tables, route, tenant),
+        let asked = Asked {
+            came,
+            left: left.min(route.timeout),
+            split: self.next_of_split(),
+            token: token(&head.headers).map(str::to_string),
+            attempt_id: head.headers.get(&ATTEMPT).cloned(),
+            host,
+            path: head.uri.path().to_string(),
         };
-        let id = once(route, tenant, &head.headers);
-        let new_id = |id: &[u8]| self.ids.borrow_mut().enter(id, came.secs(), REMEMBERED);
-        if id.as_deref().is_some_and(|id| !new_id(id)) {
-            return Err(refuse(StatusCode::CONFLICT, "Lupinledge-Attempt-Id: had before"));
-        }
+        let operation = operation_key.map(|key| {
+            let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+            let fingerprint = Fingerprint::of(head.method.as_str(), path, &body);
+            (Key::of(tenant.map_or("", |t| &t.name), &key), fingerprint)
+        });
+        let once = once(route, tenant, &head.headers);
         let named = tenant.and_then(|t| HeaderValue::from_str(&t.name).ok());
-        let attempt_id = head.headers.get(&ATTEMPT).cloned();
         let carried = Carried::new(head.method, head.uri, std::mem::take(&mut head.headers), named, body);
-        let (answer, attempts) = pool.take(new, carried).answer_with_attempts().await;
-        if let (Answer::Denied(_), Some(id)) = (&answer, &id) {
-            self.ids.borrow_mut().forget(id);
-        }
-        let reply = match answer {
-            Answer::Passed(made) | Answer::Failed(made) => passed(made),
-            // not sent, see `Pools::shut`
-            Answer::Denied(after) if self.pools.shut().0.is_some() => away(after.secs()),
-            Answer::Denied(after) => retry(StatusCode::TOO_MANY_REQUESTS, after.secs()),
-            Answer::Aborted => bare(StatusCode::BAD_GATEWAY),
+        let (reply, attempts) = match operation {
+            None => self.send_plain(&tables, route, tenant, &asked, once, carried).await?,
+            Some((key, fingerprint)) => {
+                let request = self.keyed_request(&tables, route, tenant, &asked, (key, fingerprint));
+                self.send_keyed(request, asked.clone(), tenant.cloned(), carried, room).await
+            }
         };
         if reply.status().is_server_error() || reply.status() == StatusCode::TOO_MANY_REQUESTS {
             let now = self.pools.clock.now();
             let failure = Failure {
                 status: reply.status(),
-                id: attempt_id.as_ref().map_or(&[], |id| id.as_bytes()),
+                id: asked.attempt_id.as_ref().map_or(&[], |id| id.as_bytes()),
                 route: &route.name,
                 tenant: tenant.map_or("", |t| &t.name),
                 took: now - came,
@@ -171,6 +192,97 @@
         Ok(reply)
     }
 
+    /// Has a request run that has no operation key.
+    async fn send_plain(
+        &self,
+        tables: &Tables,
+        route: &Route,
+        tenant: Option<&Tenant>,
+        asked: &Asked,
+        once: Option<Vec<u8>>,
+        carried: Carried,
+    ) -> Result<(Reply, Vec<Attempt>), Refusal> {
+        let Some((pool, new)) = place(&self.pools, tables, route, tenant, asked) else {
+            return Ok((later(0.5), Vec::new()));
+        };
+        let new_id = |id: &[u8]| self.ids.borrow_mut().enter(id, asked.came.secs(), REMEMBERED);
+        if once.as_deref().is_some_and(|id| !new_id(id)) {
+            return Err(refuse(StatusCode::CONFLICT, "Lupinledge-Attempt-Id: had before"));
+        }
+        let (answer, attempts) = pool.take(new, carried).answer_with_attempts().await;
+        if let (Answer::Denied(_), Some(id)) = (&answer, &once) {
+            self.ids.borrow_mut().forget(id);
+        }
+        Ok((self.reply(answer), attempts))
+    }
+
+    /// What is claimed for a request with an operation key.
+    fn keyed_request(
+        &self,
+        tables: &Rc<Tables>,
+        route: &Route,
+        tenant: Option<&Tenant>,
+        asked: &Asked,
+        (key, fingerprint): (Key, Fingerprint),
+    ) -> operations::Request {
+        let (tables, route, tenant) = (tables.clone(), route.clone(), tenant.cloned());
+        let longest = route.timeout.min(LONGEST);
+        operations::Request {
+            key,
+            fingerprint,
+            keep: self.pools.key_window() + longest + KEY_MARGIN,
+            by: self.pools.clock.instant(asked.came + Span::from_secs(asked.left)),
+            may_be_kept_in: Box::new(move |zone| tables.at_home(&route, tenant.as_ref(), zone)),
+        }
+    }
+
+    /// Has a request run whose operation key is claimed first, or answers it by what its operation came to. The operation
+    /// goes on if the client leaves.
+    async fn send_keyed(
+        &self,
+        request: operations::Request,
+        asked: Asked,
+        tenant: Option<Tenant>,
+        carried: Carried,
+        room: Taken,
+    ) -> (Reply, Vec<Attempt>) {
+        let (operations, pools) = (self.operations.clone(), self.pools.clone());
+        let attempt_id = asked.attempt_id.clone();
+        let (told, ended) = oneshot::channel();
+        tokio::task::spawn_local(async move {
+            let _room = room;
+            let send = move || take(&pools, &asked, tenant.as_ref(), carried);
+            let _ = told.send(operations.perform(request, send).await);
+        });
+        let reply = match ended.await.unwrap_or(Ended::Lost) {
+            Ended::Performed(answer, attempts) => return (self.reply(answer), attempts),
+            Ended::Repeated(answer) => KeptAnswer::decoded(&answer, attempt_id.as_ref())
+                .map_or_else(|| bare(StatusCode::BAD_GATEWAY), passed),
+            Ended::AtWork => say(StatusCode::CONFLICT, "Lupinledge-Operation-Key: in work"),
+            Ended::OtherRequest => {
+                let text = "Lupinledge-Operation-Key: used for another request";
+                say(StatusCode::UNPROCESSABLE_ENTITY, text)
+            }
+            Ended::Lost => bare(StatusCode::BAD_GATEWAY),
+            Ended::Unavailable => later(NO_MAJORITY),
+            Ended::NotSent => match self.pools.shut().0 {
+                Some(hint) => away(hint),
+                None => later(NO_ROOM),
+            },
+        };
+        (reply, Vec::new())
+    }
+
+    fn reply(&self, answer: Answer<Trail>) -> Reply {
+        match answer {
+            Answer::Passed(made) | Answer::Failed(made) => passed(made),
+            // not sent, see `Pools::shut`
+            Answer::Denied(after) if self.pools.shut().0.is_some() => away(after.secs()),
+            Answer::Denied(after) => retry(StatusCode::TOO_MANY_REQUESTS, after.secs()),
+            Answer::Aborted => bare(StatusCode::BAD_GATEWAY),
+        }
+    }
+
     /// Evenly spread numbers from 0 to 1: each part of a split gets its share of any few hundred requests, which
     /// numbers drawn by chance give it only of many thousands.
     fn next_of_split(&self) -> f64 {
@@ -211,15 +323,17 @@
     reply
 }
 
-/// Whose key the request bears; none where none is needed.
-fn tenant<'a>(tables: &'a Tables, route: &Route, headers: &HeaderMap) -> Result<Option<&'a Tenant>, Refusal> {
-    let key = headers.get_all(AUTHORIZATION).iter().map(|v| v.to_str().ok()?.strip_prefix("Token "));
-    let mut keys = key.map(|k| k.map(str::trim));
-    let tenant = match (keys.next(), keys.next()) {
-        (Some(Some(key)), None) => tables.tenant(key),
-        _ => None,
-    };
-    match tenant {
+/// Its one API key.
+fn token(headers: &HeaderMap) -> Option<&str> {
+    let mut all = headers.get_all(AUTHORIZATION).iter();
+    let (first, second) = (all.next()?, all.next());
+    let token = first.to_str().ok()?.strip_prefix("Token ")?;
+    second.is_none().then_some(token.trim())
+}
+
+/// Whose API key the request bears; none where none is needed.
+fn tenant<'a>(tables: &'a Tables, route: &Route, token: Option<&str>) -> Result<Option<&'a Tenant>, Refusal> {
+    match token.and_then(|token| tables.tenant(token)) {
         None if tables.keyed() && !route.public => {
             Err(refuse(StatusCode::UNAUTHORIZED, "Authorization: no known key"))
         }
@@ -227,6 +341,56 @@
     }
 }
 
+/// The key of the request's operation.
+fn operation_key(headers: &HeaderMap) -> Result<Vec<u8>, Refusal> {
+    let mut all = headers.get_all(&OPERATION_KEY).iter();
+    let (Some(key), None) = (all.next(), all.next()) else {
+        return Err(refuse(StatusCode::BAD_REQUEST, "Lupinledge-Operation-Key: one is needed"));
+    };
+    let key = key.as_bytes();
+    if key.is_empty() || key.len() > OPERATION_KEY_MOST || !key.iter().all(u8::is_ascii_graphic) {
+        let text = "Lupinledge-Operation-Key: has to be 1 to 256 visible ASCII characters";
+        return Err(refuse(StatusCode::BAD_REQUEST, text));
+    }
+    Ok(key.to_vec())
+}
+
+/// The pool that a request goes to, and what the decisions are told of it.
+fn place(
+    pools: &Pools,
+    tables: &Tables,
+    route: &Route,
+    tenant: Option<&Tenant>,
+    asked: &Asked,
+) -> Option<(Rc<Exchange<Trail>>, NewReq)> {
+    let service = route.choose(asked.split).and_then(|nth| tables.services().get(nth))?;
+    let (pool, frontend, plan) = pools.pool(&service.name, route, tenant)?;
+    let new = NewReq {
+        id: 0,
+        frontend,
+        repeat: false,
+        units: 1.0,
+        customer: tenant.map_or(0, |t| t.customer),
+        plan,
+        spread: pools.spread(),
+        left: Span::from_secs(asked.left) - (pools.clock.now() - asked.came),
+        zones: pools.zones(tables, route, tenant),
+    };
+    Some((pool, new))
+}
+
+/// Hands a request whose key is claimed to its pool, by the tables in force now. None: its time is over, or there is no
+/// such route any more, or it is not the tenant's.
+fn take(pools: &Pools, asked: &Asked, before: Option<&Tenant>, carried: Carried) -> Option<Ticket<Trail>> {
+    let tables = pools.tables();
+    let route = tables.route(&asked.host, &asked.path).filter(|r| r.kind == RouteKind::Keyed)?;
+    let tenant = tenant(&tables, route, asked.token.as_deref()).ok()?;
+    let same_tenant = tenant.map(|t| &t.name) == before.map(|t| &t.name);
+    let (pool, new) = place(pools, &tables, route, tenant, asked)?;
+    let may_go = same_tenant && pools.shut().0.is_none() && new.left > Span::ZERO;
+    may_go.then(|| pool.take(new, carried))
+}
+
 /// The id of a request that may run once, among its tenant's.
 fn once(route: &Route, tenant: Option<&Tenant>, headers: &HeaderMap) -> Option<Vec<u8>> {
     let id = headers.get(&ATTEMPT).filter(|_| route.kind == RouteKind::NonIdempotent)?;
--- a/forager/src/failures.rs
+++ b/forager/src/failures.rs
@@ -9,7 +9,7 @@
 
 /// Bytes of an id that are written at most.
 const ID_BYTES: usize = 64;
-/// Lines a second of one status.
+/// Lines a second of one sort.
 const LINES_PER_SECOND: u32 = 4;
 
 /// A request that did not get a server's answer of success.
@@ -28,18 +28,33 @@
     pub attempts: &'a [Attempt],
 }
 
-/// Lines of one status in the current second.
+/// Lines of one sort in the current second.
 #[derive(Default)]
-struct Told {
+pub struct Lines {
     second: u64,
     lines: u32,
     untold: u64,
 }
 
+impl Lines {
+    /// How many of this sort were not told since the last line; none: this one is not told either.
+    pub fn turn(&mut self, second: u64) -> Option<u64> {
+        if self.second != second {
+            (self.second, self.lines) = (second, 0);
+        }
+        if self.lines >= LINES_PER_SECOND {
+            self.untold += 1;
+            return None;
+        }
+        self.lines += 1;
+        Some(std::mem::take(&mut self.untold))
+    }
+}
+
 /// See the module.
 #[derive(Default)]
 pub struct Failures {
-    by_status: RefCell<BTreeMap<u16, Told>>,
+    by_status: RefCell<BTreeMap<u16, Lines>>,
 }
 
 impl Failures {
@@ -55,17 +70,7 @@
 
     /// How many of this status were not told since the last line; none: this one is not told either.
     fn turn(&self, second: u64, status: u16) -> Option<u64> {
-        let mut by_status = self.by_status.borrow_mut();
-        let told = by_status.entry(status).or_default();
-        if told.second != second {
-            (told.second, told.lines) = (second, 0);
-        }
-        if told.lines >= LINES_PER_SECOND {
-            told.untold += 1;
-            return None;
-        }
-        told.lines += 1;
-        Some(std::mem::take(&mut told.untold))
+        self.by_status.borrow_mut().entry(status).or_default().turn(second)
     }
 }
 
--- a/forager/src/main.rs
+++ b/forager/src/main.rs
@@ -6,6 +6,7 @@
 mod ledger;
 mod metrics;
 mod nest;
+mod operations;
 mod pools;
 mod ready;
 mod start;
--- a/forager/src/nest.rs
+++ b/forager/src/nest.rs
@@ -1,6 +1,7 @@
 //! The process among the others: what it holds of the news becomes what the pools work by.
 
 use crate::ledger::Ledger;
+use crate::operations::Operations;
 use crate::pools::Pools;
 use lupinledge_gossip::metrics::Line;
 use lupinledge_gossip::{seeds_of, Gossip, Host, News};
@@ -32,6 +33,7 @@
     settings: RefCell<Rc<Settings>>,
     gossip: Rc<Gossip>,
     ledger: Rc<Ledger>,
+    operations: Rc<Operations>,
     pools: RefCell<Option<Rc<Pools>>>,
     estimate: RefCell<Estimate>,
     asked: RefCell<Asked>,
@@ -45,12 +47,18 @@
 }
 
 impl Nest {
-    pub fn new(settings: Rc<Settings>, gossip: Rc<Gossip>, ledger: Rc<Ledger>) -> Rc<Nest> {
+    pub fn new(
+        settings: Rc<Settings>,
+        gossip: Rc<Gossip>,
+        ledger: Rc<Ledger>,
+        operations: Rc<Operations>,
+    ) -> Rc<Nest> {
         let (pools, estimate) = (RefCell::default(), RefCell::default());
         let nest = Rc::new(Nest {
             settings: RefCell::new(settings),
             gossip,
             ledger,
+            operations,
             pools,
             estimate,
             asked: RefCell::default(),
@@ -156,6 +164,7 @@
         line("document.serial", self.serial.get());
         line("counters.epoch", self.gossip.held(|h| h.epoch().0));
         line("gateways", self.gossip.edges(LATELY) as u64);
+        self.operations.figures(line);
         self.gossip.figures(line);
     }
 
@@ -234,6 +243,7 @@
         match word {
             Word::Counted { tag, round, totals } => self.ledger.counted(from, tag, round, &totals),
             Word::Hold { epoch } => self.ledger.asked(epoch, from),
+            Word::Operation(message) => self.operations.heard(from, message),
             Word::ClockIs { sent, hive } if self.asked.borrow().was(sent) => {
                 self.estimate.borrow_mut().sample(sent, hive, self.gossip.now());
                 self.woken.notify_one();
--- /dev/null
+++ b/forager/src/operations.rs
@@ -0,0 +1,166 @@
+//! Operations that run once per key, as this gateway drives them: its claims at the voters, what it remembers of its own
+//! operations, and what other gateways ask about them. The decisions are in `lupinledge-operations`.
+
+mod answer;
+mod asks;
+mod claim;
+mod figures;
+mod perform;
+mod voters;
+
+pub use answer::KeptAnswer;
+pub use perform::{Ended, Request};
+
+use crate::failures::Lines;
+use asks::Asks;
+use claim::Claim;
+use figures::Figures;
+use lupinledge_gossip::metrics::Line;
+use lupinledge_gossip::Gossip;
+use lupinledge_messaging::{Node, Word};
+use lupinledge_operations::claims::{Claims, Out};
+use lupinledge_operations::memory::Memory;
+use lupinledge_operations::message::Message;
+use lupinledge_operations::record::ClaimId;
+use lupinledge_propolis::Settings;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// Bytes of answers that are remembered, of the process's memory.
+const ANSWERS: f64 = 0.1;
+/// Operations that are remembered: one gateway's part of a large deployment, with much room.
+const OPERATIONS_MOST: usize = 1 << 16;
+/// Claims are looked at no sooner and no later than this, seconds.
+const WAKE_LEAST: f64 = 0.001;
+const WAKE_MOST: f64 = 3600.0;
+
+/// All operations of this process.
+pub struct Operations {
+    gossip: Rc<Gossip>,
+    zone: String,
+    region: String,
+    claims: RefCell<Claims>,
+    memory: RefCell<Memory>,
+    /// Claims whose requests wait for votes.
+    pending: RefCell<HashMap<ClaimId, Rc<Claim>>>,
+    asks: Asks,
+    figures: Figures,
+    losses: RefCell<Lines>,
+    /// Requests that are not over.
+    active: Cell<usize>,
+    /// A request is over.
+    ended: Notify,
+    /// When claims are looked at next.
+    due: Cell<f64>,
+    woken: Notify,
+}
+
+impl Operations {
+    /// With no operation yet. Another start of the process has another `start` number.
+    pub fn start(gossip: Rc<Gossip>, settings: &Settings, start: u32) -> Rc<Operations> {
+        let answer_bytes = (settings.limits.memory_mb * 1e6 * ANSWERS) as usize;
+        let operations = Rc::new(Operations {
+            claims: RefCell::new(Claims::new(gossip.now(), gossip.me(), start)),
+            gossip,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            memory: RefCell::new(Memory::new(OPERATIONS_MOST, answer_bytes)),
+            pending: RefCell::default(),
+            asks: Asks::new(start),
+            figures: Figures::default(),
+            losses: RefCell::default(),
+            active: Cell::new(0),
+            ended: Notify::new(),
+            due: Cell::new(f64::INFINITY),
+            woken: Notify::new(),
+        });
+        tokio::task::spawn_local(operations.clone().drive());
+        operations
+    }
+
+    /// A message of a voter or of another gateway.
+    pub fn heard(&self, from: Node, message: Message) {
+        match message {
+            Message::Vote { .. } => {
+                self.with_claims(|claims, now, out| claims.heard(now, from, message, out))
+            }
+            Message::Ask { key, claim, tag } => {
+                let progress = self.memory.borrow_mut().progress(self.gossip.now(), key, claim);
+                self.send(from, Message::Told { tag, progress });
+            }
+            Message::Told { tag, progress } => self.asks.told(from, tag, progress),
+            // for voters only
+            Message::Claim { .. } | Message::Release { .. } | Message::Store { .. } => {}
+            Message::Learn { .. } | Message::Learnt { .. } => {}
+            Message::Ended { .. } | Message::Known(_) => {}
+        }
+    }
+
+    /// Waits until no request is claimed, at work or waiting for another one's answer.
+    pub async fn all_ended(&self) {
+        loop {
+            let ended = self.ended.notified();
+            tokio::pin!(ended);
+            ended.as_mut().enable();
+            if self.active.get() == 0 {
+                return;
+            }
+            ended.await;
+        }
+    }
+
+    /// Figures of operations and claims.
+    pub fn figures(&self, line: &mut Line) {
+        line("operations.known", self.memory.borrow().len() as u64);
+        line("operations.answer_bytes", self.memory.borrow().bytes() as u64);
+        line("operations.active", self.active.get() as u64);
+        line("operations.claims_waiting", self.claims.borrow().waiting() as u64);
+        self.figures.each(line);
+    }
+
+    /// Does what time alone asks of the claims, for good.
+    async fn drive(self: Rc<Self>) {
+        loop {
+            let due = self.claims.borrow().next_wake();
+            self.due.set(due);
+            let wait = (due - self.gossip.now()).clamp(WAKE_LEAST, WAKE_MOST);
+            tokio::select! {
+                biased;
+                _ = self.woken.notified() => continue,
+                _ = sleep(Duration::from_secs_f64(wait)) => {}
+            }
+            self.with_claims(|claims, now, out| claims.tick(now, out));
+        }
+    }
+
+    /// Lets the claims decide something, and carries it out.
+    fn with_claims<T>(&self, decide: impl FnOnce(&mut Claims, f64, &mut Vec<Out>) -> T) -> T {
+        let mut out = Vec::new();
+        let decided = decide(&mut self.claims.borrow_mut(), self.gossip.now(), &mut out);
+        out.into_iter().for_each(|order| self.carry_out(order));
+        if self.claims.borrow().next_wake() < self.due.get() {
+            self.woken.notify_one();
+        }
+        decided
+    }
+
+    fn carry_out(&self, order: Out) {
+        let pending = |claim: ClaimId| self.pending.borrow().get(&claim).cloned();
+        match order {
+            Out::Send(to, message) => self.send(to, message),
+            Out::Granted(claim) => pending(claim).into_iter().for_each(|claim| claim.grant()),
+            Out::Held { claim, by, fingerprint, answered_at } => {
+                pending(claim).into_iter().for_each(|claim| claim.held(by, fingerprint, answered_at))
+            }
+            Out::Unavailable(claim) => pending(claim).into_iter().for_each(|claim| claim.withdraw()),
+        }
+    }
+
+    fn send(&self, to: Node, message: Message) {
+        self.gossip.post().send(to, &Word::Operation(message));
+    }
+}
--- /dev/null
+++ b/forager/src/operations/voters.rs
@@ -0,0 +1,54 @@
+//! Whom a claim is sent to: the machines of the core by nearness.
+
+use super::Operations;
+use lupinledge_messaging::Node;
+use lupinledge_waggle::{Member, Standing};
+
+/// Spreads what goes to another region over the machines there (a multiplier of Fibonacci hashing).
+const SPREAD: u32 = 0x9e37_79b1;
+
+/// How near a machine is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Distance {
+    Zone,
+    Region,
+    Afar,
+}
+
+impl Operations {
+    /// The machines of the core, the nearest first, and behind all others those that seem to be gone.
+    pub(super) fn voters(&self) -> Vec<Node> {
+        let me = self.gossip.me();
+        let place = |member: &Member| {
+            let spread = (member.node ^ me).wrapping_mul(SPREAD);
+            (member.standing != Standing::Alive, self.distance(member), spread)
+        };
+        let mut voters = self.gossip.with(|swarm| {
+            let core = swarm.members().filter(|member| member.card.core);
+            core.map(|member| (place(member), member.node)).collect::<Vec<_>>()
+        });
+        voters.sort_unstable();
+        voters.into_iter().map(|(_, node)| node).collect()
+    }
+
+    /// The zone of a process, if it is known.
+    pub(super) fn zone_of(&self, node: Node) -> Option<String> {
+        self.gossip.with(|swarm| swarm.member(node).map(|member| member.card.zone.clone()))
+    }
+
+    /// Whether it is of use to ask a process.
+    pub(super) fn may_answer(&self, node: Node) -> bool {
+        let there = |member: &Member| member.standing != Standing::Gone;
+        self.gossip.with(|swarm| swarm.member(node).is_some_and(there))
+    }
+
+    fn distance(&self, member: &Member) -> Distance {
+        if member.card.zone == self.zone {
+            Distance::Zone
+        } else if member.card.region == self.region {
+            Distance::Region
+        } else {
+            Distance::Afar
+        }
+    }
+}
--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -233,6 +233,11 @@
         self.settle();
     }
 
+    /// For how long an operation key runs once, seconds.
+    pub fn key_window(&self) -> f64 {
+        self.settings.borrow().bounds.key_window_s
+    }
+
     /// Another number of gateways, if it differs.
     pub fn among(&self, gateways: usize) {
         if std::mem::replace(&mut self.wanted.borrow_mut().gateways, gateways) != gateways {
--- a/forager/src/start.rs
+++ b/forager/src/start.rs
@@ -5,6 +5,7 @@
 use crate::ledger::Ledger;
 use crate::metrics::Metrics;
 use crate::nest::Nest;
+use crate::operations::Operations;
 use crate::pools::Pools;
 use crate::ready::Ready;
 use eyre::{eyre, WrapErr};
@@ -34,8 +35,8 @@
 const STAY: f64 = 0.55;
 const END: f64 = 0.92;
 
-/// A number by which the counters tell this start of the process from others: drawn from what the machine has for
-/// random, and the same as another start's by a chance of one in 2^32.
+/// A number by which the counters and the voters of operation keys tell this start of the process from others: drawn
+/// from what the machine has for random, and the same as another start's by a chance of one in 2^32.
 fn start_number() -> u32 {
     RandomState::new().hash_one(SystemTime::now()) as u32
 }
@@ -102,8 +103,10 @@
         load: 0,
     };
     let gossip = Gossip::open(&told, card, true).wrap_err("`port_range`")?;
-    let ledger = Ledger::start(gossip.post().clone(), start_number());
-    let nest = Nest::new(told.clone(), gossip.clone(), ledger.clone());
+    let start_number = start_number();
+    let ledger = Ledger::start(gossip.post().clone(), start_number);
+    let operations = Operations::start(gossip.clone(), &told, start_number);
+    let nest = Nest::new(told.clone(), gossip.clone(), ledger.clone(), operations.clone());
     let metrics = Metrics::new(nest.clone());
     let ready_answers = Rc::new(Ready { flag: ready.clone(), metrics: metrics.clone() });
     let ready_side = Clients::start(ready_answers, counters.clone(), bounds(3.0, 15.0, 8 << 10));
@@ -144,7 +147,7 @@
         return Ok(());
     };
     metrics.show(pools.clone());
-    let door = Door::new(pools.clone(), told.limits.memory_mb, seed);
+    let door = Door::new(pools.clone(), operations.clone(), told.limits.memory_mb, seed);
     let clients = Clients::start(door, pools.counters.clone(), bounds(3.0, 15.0, 16 << 10));
     ready.set(true);
     gossip.set_card(|card| card.ready = true);
@@ -186,6 +189,9 @@
     clients.end_all();
     let left = Duration::from_secs_f64(grace * END).saturating_sub(began.elapsed());
     let _ = timeout(left, clients.all_ended()).await;
+    // those whose clients have left, and what others have to keep of them
+    let left = Duration::from_secs_f64(grace * END).saturating_sub(began.elapsed());
+    let _ = timeout(left, operations.all_ended()).await;
     sleep(Duration::from_millis(5)).await;
     let (taken, passed) = (pools.counters.taken.get(), pools.counters.passed.get());
     tracing::info!(event = "ended", taken, passed, unanswered = pools.unanswered());
--- a/forager/src/wire.rs
+++ b/forager/src/wire.rs
@@ -12,6 +12,7 @@
 use lupinledge_comb::srvs::ServerWire;
 
 pub const ATTEMPT: HeaderName = HeaderName::from_static("lupinledge-attempt-id");
+pub const OPERATION_KEY: HeaderName = HeaderName::from_static("lupinledge-operation-key");
 pub const DEADLINE: HeaderName = HeaderName::from_static("lupinledge-deadline-ms");
 const EXPECTED: HeaderName = HeaderName::from_static("lupinledge-expect-instance");
 const TENANT: HeaderName = HeaderName::from_static("lupinledge-tenant");
--- a/forager/tests/rules/fleet.rs
+++ b/forager/tests/rules/fleet.rs
@@ -130,6 +130,15 @@
     pub fn readiness(&self) -> Option<u16> {
         readiness(self.ready)
     }
+
+    /// One request on a connection of its own.
+    pub fn ask(&self, bytes: &str) -> Message {
+        try_ask(self.front, bytes).expect("an answer")
+    }
+}
+
+fn try_ask(at: SocketAddr, bytes: &str) -> Option<Message> {
+    Client::to(at).ok()?.ask(bytes.as_bytes()).ok()?
 }
 
 /// A figure that a program tells of itself.
@@ -298,7 +307,7 @@
     }
 
     fn try_ask(&self, bytes: &str) -> Option<Message> {
-        Client::to(self.front).ok()?.ask(bytes.as_bytes()).ok()?
+        try_ask(self.front, bytes)
     }
 
     /// One request on a connection of its own.
--- a/forager/tests/rules/hive.rs
+++ b/forager/tests/rules/hive.rs
@@ -1,14 +1,16 @@
 //! A stand-in for the hive: one process that holds the duty, tells documents and lists of servers, counts, and shows
-//! its clock. It gossips with the system's own parts.
+//! its clock. It votes on operation keys, without a disk. It gossips with the system's own parts.
 
 use lupinledge_gossip::{Gossip, Host, News};
 use lupinledge_messaging::list::{List, Row};
 use lupinledge_messaging::{encode, epoch, parts, round, units, CountedName, Node, Word};
+use lupinledge_operations::voter::{self, Out, Voter};
+use lupinledge_operations::Message;
 use lupinledge_propolis::{Document, Settings, Tables};
 use lupinledge_queen::Ballot;
 use lupinledge_waggle::{Card, Source};
 use serde_bytes::ByteBuf;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -21,6 +23,8 @@
     Rows(u64, Vec<Row>),
     /// The duty is held under the epoch of this round from now on, by the same process.
     Round(u32),
+    /// These vote on operation keys from now on.
+    Voters(Vec<Node>),
     /// Straight to a process, without keeping it.
     Say(Node, Ballot, Document),
 }
@@ -54,18 +58,63 @@
     pub answers: Mutex<Answers>,
 }
 
+/// What becomes of operation keys.
+#[derive(Default)]
+pub struct Votes {
+    /// Claims that came.
+    pub claims: AtomicU64,
+    /// Keys that are held.
+    pub held: AtomicU64,
+    /// Bytes of answers that are kept.
+    pub answer_bytes: AtomicU64,
+}
+
 /// Ends when dropped.
 pub struct Hive {
     orders: UnboundedSender<Order>,
     pub counts: Arc<Counts>,
+    pub votes: Arc<Votes>,
+    me: Node,
 }
 
+/// The most keys and bytes of answers that the stand-in holds.
+const KEYS: usize = 10_000;
+const ANSWER_BYTES: usize = 1 << 20;
+
 /// Answers the words that are not of the gossip.
 struct Holder {
     gossip: Rc<Gossip>,
     totals: RefCell<BTreeMap<u64, f64>>,
     kept: RefCell<Vec<Word>>,
     counts: Arc<Counts>,
+    voter: RefCell<Voter>,
+    electorate: Cell<u64>,
+    votes: Arc<Votes>,
+}
+
+impl Holder {
+    /// Lets the voter act; what it writes is on disk at once.
+    fn vote(&self, act: impl FnOnce(&mut Voter, f64, &mut Vec<Out>)) {
+        let (mut voter, now, mut out) = (self.voter.borrow_mut(), self.gossip.now(), Vec::new());
+        act(&mut voter, now, &mut out);
+        while !out.is_empty() {
+            for order in std::mem::take(&mut out) {
+                match order {
+                    Out::Send(to, message) => self.gossip.post().send(to, &Word::Operation(message)),
+                    Out::Append { number, .. } => voter.saved(now, number, &mut out),
+                }
+            }
+        }
+        self.votes.held.store(voter.records() as u64, Ordering::SeqCst);
+        self.votes.answer_bytes.store(voter.answer_bytes() as u64, Ordering::SeqCst);
+    }
+
+    /// The electorate is these from now on.
+    fn voters(&self, members: &[Node]) {
+        let index = self.electorate.get() + 1;
+        self.electorate.set(index);
+        self.vote(|voter, now, out| voter.members(now, index, members, &[], out));
+    }
 }
 
 impl Host for Holder {
@@ -110,6 +159,11 @@
                 let use_of = told.iter().filter(|t| t.name & 1 == 0).map(|t| t.sum).sum::<f64>();
                 return self.counts.told.store(use_of.round() as u64, Ordering::SeqCst);
             }
+            Word::Operation(message) => {
+                let claim = matches!(message, Message::Claim { .. });
+                self.votes.claims.fetch_add(u64::from(claim), Ordering::SeqCst);
+                return self.vote(|voter, now, out| voter.heard(now, from, message, out));
+            }
             _ => return,
         };
         self.gossip.post().send(from, &answer);
@@ -126,12 +180,12 @@
     /// Has bound its port when it returns.
     pub fn start(settings: Settings) -> Hive {
         let (orders, from) = unbounded_channel();
-        let hive = Hive { orders, counts: Arc::default() };
-        let counts = hive.counts.clone();
+        let hive = Hive { orders, counts: Arc::default(), votes: Arc::default(), me: settings.node() };
+        let (counts, votes) = (hive.counts.clone(), hive.votes.clone());
         let (bound, is_bound) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-            runtime.expect("a runtime").block_on(run(settings, from, counts, bound));
+            runtime.expect("a runtime").block_on(run(settings, from, (counts, votes), bound));
         });
         is_bound.recv().expect("its port");
         hive
@@ -146,6 +200,11 @@
     pub fn round(&self, round: u32) {
         let _ = self.orders.send(Order::Round(round));
     }
+    /// Among so many voters it is the only one there from now on.
+    pub fn alone_among(&self, voters: u32) {
+        let members = (0..voters).map(|nth| self.me + nth).collect();
+        let _ = self.orders.send(Order::Voters(members));
+    }
     pub fn answers(&self, how: Answers) {
         *self.counts.answers.lock().unwrap() = how;
     }
@@ -155,10 +214,15 @@
     }
 }
 
+/// A voter that votes from the start.
+fn founder(me: Node) -> voter::Settings {
+    voter::Settings { me, seed: 1, founds: true, records_most: KEYS, answer_bytes_most: ANSWER_BYTES }
+}
+
 async fn run(
     settings: Settings,
     mut orders: UnboundedReceiver<Order>,
-    counts: Arc<Counts>,
+    (counts, votes): (Arc<Counts>, Arc<Votes>),
     bound: std::sync::mpsc::Sender<()>,
 ) {
     let (region, zone) = (settings.region.clone(), settings.zone.clone());
@@ -172,7 +236,12 @@
         totals: RefCell::default(),
         kept: RefCell::default(),
         counts,
+        voter: RefCell::new(Voter::new(0.0, founder(gossip.me()), Vec::new(), &mut Vec::new())),
+        electorate: Cell::new(0),
+        votes,
     });
+    holder.vote(|voter, now, out| voter.saved(now, 1, out));
+    holder.voters(&[gossip.me()]);
     let host: Rc<dyn Host> = holder.clone();
     gossip.attend(Rc::downgrade(&host));
     tokio::task::spawn_local(gossip.clone().run());
@@ -194,6 +263,7 @@
                 let epoch = Some((epoch(round, gossip.me()), gossip.me()));
                 gossip.tell(News { epoch, ..News::default() }, Source::Origin);
             }
+            Order::Voters(members) => holder.voters(&members),
             Order::Say(to, ballot, d) => {
                 let state = Some(((ballot.epoch, ballot.index), ByteBuf::from(bytes(&d))));
                 let news = Word::News { digest: Default::default(), state, list: None };
--- /dev/null
+++ b/forager/tests/rules/keyed.rs
@@ -0,0 +1,258 @@
+//! Requests with an operation key: each key runs once over all gateways, and repeats get the first one's answer.
+
+use crate::fleet::{config, req, row, until, Fleet};
+use crate::srv::{Manner, Srv, FULL, GOOD};
+use crate::{ms, srv};
+use lupinledge_example::http::{Client, Message};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::thread::{spawn, JoinHandle};
+use test_case::test_case;
+
+/// The plain configuration, with a keyed route.
+fn keyed() -> Value {
+    let mut config = config();
+    let rules = config["listeners"][0]["rules"].as_array_mut().expect("rules");
+    let mut rule = rules[1].clone();
+    (rule["name"], rule["route_kind"]) = (json!("charge"), json!("keyed"));
+    rule["match"]["path_prefix"] = json!("/charge/");
+    rules.push(rule);
+    config
+}
+
+fn start(s: &Srv) -> Fleet {
+    Fleet::with(vec![row(s, "a")], &keyed(), json!({}))
+}
+
+/// A request of that operation with this time left, and its attempt id.
+fn within(milliseconds: u64, key: &str) -> (String, String) {
+    let more = format!("Lupinledge-Operation-Key: {key}\r\nLupinledge-Deadline-Ms: {milliseconds}\r\n");
+    req("POST /charge/x?y=1", "key", &more, "sum")
+}
+
+/// A request of that operation, and its attempt id.
+fn request(key: &str) -> (String, String) {
+    within(5000, key)
+}
+
+fn ask_apart(front: SocketAddr, text: String) -> JoinHandle<Message> {
+    spawn(move || Client::to(front).unwrap().ask(text.as_bytes()).unwrap().expect("an answer"))
+}
+
+/// The first one's answer under the repeat's own id.
+fn assert_repeats(first: &str, second: &str, answer: &Message) {
+    assert_eq!((answer.status(), answer.text()), (200, format!("i-1 for {first}")));
+    assert_eq!(answer.header("lupinledge-server-stamp"), Some("st"));
+    assert_eq!(answer.header("lupinledge-attempt-id"), Some(second));
+    assert_eq!(answer.header("x-app"), Some("kept"));
+}
+
+/// TWICE, MIXED: a key runs once over two gateways; repeats at either get status, stamp and body of the first. Another
+/// key runs, and so does the same one of another tenant.
+#[test]
+fn a_key_runs_once_over_two_gateways() {
+    let s = srv("i-1", GOOD);
+    let f = start(&s);
+    let beside = f.beside();
+    let (first, text) = request("k-1");
+    assert_repeats(&first, &first, &f.ask(&text));
+    for _ in 0..2 {
+        let (again, text) = request("k-1");
+        assert_repeats(&first, &again, &beside.ask(&text));
+        let (again, text) = request("k-1");
+        assert_repeats(&first, &again, &f.ask(&text));
+    }
+    assert_eq!(s.got().len(), 1);
+    let (other, text) = request("k-2");
+    assert_repeats(&other, &other, &beside.ask(&text));
+    let (tenant, text) = request("k-1");
+    assert_repeats(&tenant, &tenant, &f.ask(&text.replace("Token key", "Token small-key")));
+    assert_eq!(s.got().len(), 3);
+    assert_eq!(f.metric("operations.claims_granted"), Some(2));
+    assert_eq!(f.metric("operations.repeats_answered"), Some(2));
+}
+
+/// TWICE, MIXED: repeats that come while the first is at work, here and at another gateway, wait and get its answer.
+#[test]
+fn repeats_wait_for_the_first() {
+    let s = srv("i-1", Manner::Answer(ms(500)));
+    let f = start(&s);
+    let beside = f.beside();
+    let (first, text) = request("k-1");
+    let ran = ask_apart(f.front, text);
+    until("it runs", || s.got().len() == 1);
+    let (here, text) = request("k-1");
+    let waits_here = ask_apart(f.front, text);
+    let (there, text) = request("k-1");
+    assert_repeats(&first, &there, &beside.ask(&text));
+    assert_repeats(&first, &here, &waits_here.join().unwrap());
+    assert_repeats(&first, &first, &ran.join().unwrap());
+    assert_eq!(s.got().len(), 1);
+}
+
+/// MIXED: a repeat whose time ends before the first is over hears that its key is in work.
+#[test]
+fn in_work_until_the_repeats_time_is_over() {
+    let s = srv("i-1", Manner::Answer(ms(1500)));
+    let f = start(&s);
+    let beside = f.beside();
+    let (first, text) = request("k-1");
+    let ran = ask_apart(f.front, text);
+    until("it runs", || s.got().len() == 1);
+    let here = ask_apart(f.front, within(400, "k-1").1);
+    assert_eq!(beside.ask(&within(400, "k-1").1).status(), 409);
+    assert_eq!(here.join().unwrap().status(), 409);
+    assert_repeats(&first, &first, &ran.join().unwrap());
+    assert_eq!(s.got().len(), 1);
+}
+
+/// TWICE: the same key with another body, path or query is refused by every gateway, and nothing of it runs.
+#[test]
+fn a_key_is_of_one_request() {
+    let s = srv("i-1", GOOD);
+    let f = start(&s);
+    let beside = f.beside();
+    assert_eq!(f.ask(&request("k-1").1).status(), 200);
+    let text = request("k-1").1;
+    for other in
+        [text.replace("sum", "mus"), text.replace("/charge/x", "/charge/z"), text.replace("y=1", "y=2")]
+    {
+        assert_eq!([f.ask(&other).status(), beside.ask(&other).status()], [422, 422]);
+    }
+    assert_eq!(s.got().len(), 1);
+}
+
+/// What bears no proper operation key is refused, with the header named; other routes ask for none.
+#[test_case(""; "none")]
+#[test_case("Lupinledge-Operation-Key:\r\n"; "empty")]
+#[test_case("Lupinledge-Operation-Key: a\r\nLupinledge-Operation-Key: a\r\n"; "two")]
+#[test_case("Lupinledge-Operation-Key: a b\r\n"; "a space")]
+#[test_case("Lupinledge-Operation-Key: \u{e4}\r\n"; "no ASCII")]
+#[test_case(&format!("Lupinledge-Operation-Key: {}\r\n", "x".repeat(257)); "long")]
+fn improper_keys(more: &str) {
+    let s = srv("i-1", GOOD);
+    let f = start(&s);
+    let answer = f.ask(&req("POST /charge/x", "key", more, "sum").1);
+    assert_eq!(answer.status(), 400);
+    assert!(answer.text().starts_with("Lupinledge-Operation-Key: "), "{}", answer.text());
+    assert!(s.got().is_empty());
+    assert_eq!(f.ask(&req("POST /pay/x", "key", more, "sum").1).status(), 200);
+}
+
+/// REFUSED, TWICE: what a server says that it has not run frees its key: a further try runs, wherever it comes.
+#[test]
+fn a_refusal_frees_the_key() {
+    let s = srv("i-1", FULL);
+    let f = start(&s);
+    let beside = f.beside();
+    assert_eq!(f.ask(&request("k-1").1).status(), 429);
+    until("the key is free", || f.hive.votes.held.load(Ordering::SeqCst) == 0);
+    let refused = s.got().len();
+    s.now(GOOD);
+    until("a server is trusted again", || f.statuses(1, "GET /read/x", "key") == [200]);
+    let tried = s.got().len();
+    let (id, text) = request("k-1");
+    assert_repeats(&id, &id, &beside.ask(&text));
+    assert!(refused > 0 && s.got().len() == tried + 1);
+}
+
+/// TWICE, MIXED: after the gateway that ran it is gone, a repeat gets the copy of the answer that a voter keeps.
+#[test]
+fn a_voter_keeps_the_answer() {
+    let s = srv("i-1", GOOD);
+    let f = start(&s);
+    let beside = f.beside();
+    let (first, text) = request("k-1");
+    assert_eq!(beside.ask(&text).status(), 200);
+    until("the voter keeps it", || f.hive.votes.answer_bytes.load(Ordering::SeqCst) > 0);
+    drop(beside);
+    let (again, text) = request("k-1");
+    assert_repeats(&first, &again, &f.ask(&text));
+    assert_eq!(s.got().len(), 1);
+}
+
+/// TWICE: where the gateway is gone while its request runs, repeats are told that the outcome is not known, and nothing
+/// runs again.
+#[test]
+fn the_owner_ends_while_it_runs() {
+    let s = srv("i-1", Manner::Answer(ms(700)));
+    let f = start(&s);
+    let beside = f.beside();
+    let first = spawn({
+        let (front, text) = (beside.front, request("k-1").1);
+        move || Client::to(front).unwrap().ask(text.as_bytes()).ok().flatten()
+    });
+    until("it runs", || s.got().len() == 1);
+    drop(beside);
+    assert!(first.join().unwrap().is_none());
+    for _ in 0..2 {
+        assert_eq!(f.ask(&within(1500, "k-1").1).status(), 502);
+    }
+    assert_eq!(s.got().len(), 1);
+    assert_eq!(f.metric("operations.lost"), Some(2));
+    assert!(f.log().contains("event=operation_lost"));
+}
+
+/// TWICE: a server that breaks off may have run it: every repeat at every gateway is told so.
+#[test]
+fn an_unknown_outcome_stays_unknown() {
+    let s = srv("i-1", Manner::Close(""));
+    let f = start(&s);
+    let beside = f.beside();
+    assert_eq!(f.ask(&request("k-1").1).status(), 502);
+    s.now(GOOD);
+    assert_eq!([f.ask(&request("k-1").1).status(), beside.ask(&request("k-1").1).status()], [502, 502]);
+    assert_eq!(s.got().len(), 1);
+}
+
+/// REFUSED, TWICE: without a majority of the voters nothing runs, and the client is told when to come back; its key is
+/// free once they are there.
+#[test]
+fn no_majority() {
+    let s = srv("i-1", GOOD);
+    let f = start(&s);
+    f.hive.alone_among(3);
+    let answer = f.ask(&within(1000, "k-1").1);
+    assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("0.300")));
+    assert!(f.hive.votes.claims.load(Ordering::SeqCst) > 0 && s.got().is_empty());
+    assert_eq!(f.metric("operations.claims_unavailable"), Some(1));
+    until("the claim is withdrawn", || f.hive.votes.held.load(Ordering::SeqCst) == 0);
+    f.hive.alone_among(1);
+    let (id, text) = request("k-1");
+    assert_repeats(&id, &id, &f.ask(&text));
+}
+
+/// TWICE, MIXED: a client that leaves does not stop its operation; the answer is there for the repeat.
+#[test]
+fn a_client_that_leaves() {
+    let s = srv("i-1", Manner::Answer(ms(400)));
+    let f = start(&s);
+    let (first, text) = request("k-1");
+    let mut client = Client::to(f.front).unwrap();
+    client.write(text.as_bytes()).unwrap();
+    until("it runs", || s.got().len() == 1);
+    drop(client);
+    let (again, text) = request("k-1");
+    assert_repeats(&first, &again, &f.ask(&text));
+    assert_eq!(s.got().len(), 1);
+}
+
+/// TWICE, MIXED: at SIGTERM an operation whose client has left is seen to its end, and a voter is given the answer.
+#[test]
+fn an_operation_ends_before_its_gateway_does() {
+    let s = srv("i-1", Manner::Answer(ms(700)));
+    let mut f = start(&s);
+    let beside = f.beside();
+    let (first, text) = request("k-1");
+    let mut client = Client::to(f.front).unwrap();
+    client.write(text.as_bytes()).unwrap();
+    until("it runs", || s.got().len() == 1);
+    drop(client);
+    f.signal("TERM");
+    assert!(f.end().success());
+    until("the voter keeps it", || f.hive.votes.answer_bytes.load(Ordering::SeqCst) > 0);
+    let (again, text) = request("k-1");
+    assert_repeats(&first, &again, &beside.ask(&text));
+    assert_eq!(s.got().len(), 1);
+}
