--- a/forager/tests/rules/fleet.rs
+++ b/forager/tests/rules/fleet.rs
@@ -236,6 +236,25 @@
         peak.expect("its peak")
     }
 
+    /// The hive is the only one there among so many voters of operation keys from now on.
+    pub fn alone_among(&self, voters: u32) {
+        let members: Vec<u32> = (0..voters).map(|nth| self.hive.me + nth).collect();
+        self.hive.votes_among(&members);
+    }
+
+    /// One more voter of operation keys, among so many of whom the hive and this one are there.
+    pub fn voter_among(&self, voters: u32) -> Hive {
+        let mut settings = self.settings.clone();
+        let _alone = STARTING.lock();
+        settings["ip"] = json!(ip());
+        let told = Settings::parse(settings.to_string().as_bytes()).expect("the voter's settings");
+        let voter = Hive::voter(told);
+        let mut members = vec![self.hive.me, voter.me];
+        members.extend((2..voters).map(|nth| self.hive.me + nth));
+        [&self.hive, &voter].into_iter().for_each(|voters| voters.votes_among(&members));
+        voter
+    }
+
     /// The figure of this name that the program tells of itself.
     pub fn metric(&self, name: &str) -> Option<u64> {
         metric(self.ready, name)
--- a/forager/tests/rules/hive.rs
+++ b/forager/tests/rules/hive.rs
@@ -13,7 +13,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
@@ -63,6 +63,8 @@
 pub struct Votes {
     /// Claims that came.
     pub claims: AtomicU64,
+    /// Claims are not answered.
+    pub silent: AtomicBool,
     /// Keys that are held.
     pub held: AtomicU64,
     /// Bytes of answers that are kept.
@@ -74,7 +76,7 @@
     orders: UnboundedSender<Order>,
     pub counts: Arc<Counts>,
     pub votes: Arc<Votes>,
-    me: Node,
+    pub me: Node,
 }
 
 /// The most keys and bytes of answers that the stand-in holds.
@@ -162,6 +164,9 @@
             Word::Operation(message) => {
                 let claim = matches!(message, Message::Claim { .. });
                 self.votes.claims.fetch_add(u64::from(claim), Ordering::SeqCst);
+                if claim && self.votes.silent.load(Ordering::SeqCst) {
+                    return;
+                }
                 return self.vote(|voter, now, out| voter.heard(now, from, message, out));
             }
             _ => return,
@@ -179,13 +184,20 @@
 impl Hive {
     /// Has bound its port when it returns.
     pub fn start(settings: Settings) -> Hive {
+        Hive::with(settings, true)
+    }
+    /// Another voter, which does not hold the duty.
+    pub fn voter(settings: Settings) -> Hive {
+        Hive::with(settings, false)
+    }
+    fn with(settings: Settings, holds: bool) -> Hive {
         let (orders, from) = unbounded_channel();
         let hive = Hive { orders, counts: Arc::default(), votes: Arc::default(), me: settings.node() };
         let (counts, votes) = (hive.counts.clone(), hive.votes.clone());
         let (bound, is_bound) = std::sync::mpsc::channel();
         std::thread::spawn(move || {
             let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
-            runtime.expect("a runtime").block_on(run(settings, from, (counts, votes), bound));
+            runtime.expect("a runtime").block_on(run(settings, holds, from, (counts, votes), bound));
         });
         is_bound.recv().expect("its port");
         hive
@@ -200,10 +212,9 @@
     pub fn round(&self, round: u32) {
         let _ = self.orders.send(Order::Round(round));
     }
-    /// Among so many voters it is the only one there from now on.
-    pub fn alone_among(&self, voters: u32) {
-        let members = (0..voters).map(|nth| self.me + nth).collect();
-        let _ = self.orders.send(Order::Voters(members));
+    /// It votes among these from now on.
+    pub fn votes_among(&self, voters: &[Node]) {
+        let _ = self.orders.send(Order::Voters(voters.to_vec()));
     }
     pub fn answers(&self, how: Answers) {
         *self.counts.answers.lock().unwrap() = how;
@@ -221,6 +232,7 @@
 
 async fn run(
     settings: Settings,
+    holds: bool,
     mut orders: UnboundedReceiver<Order>,
     (counts, votes): (Arc<Counts>, Arc<Votes>),
     bound: std::sync::mpsc::Sender<()>,
@@ -245,8 +257,10 @@
     let host: Rc<dyn Host> = holder.clone();
     gossip.attend(Rc::downgrade(&host));
     tokio::task::spawn_local(gossip.clone().run());
-    gossip
-        .tell(News { epoch: Some((epoch(1, gossip.me()), gossip.me())), ..News::default() }, Source::Origin);
+    if holds {
+        let epoch = Some((epoch(1, gossip.me()), gossip.me()));
+        gossip.tell(News { epoch, ..News::default() }, Source::Origin);
+    }
     while let Some(order) = orders.recv().await {
         match order {
             Order::Document(index, d) => {
--- a/forager/tests/rules/keyed.rs
+++ b/forager/tests/rules/keyed.rs
@@ -1,6 +1,6 @@
 //! Requests with an operation key: each key runs once over all gateways, and repeats get the first one's answer.
 
-use crate::fleet::{config, req, row, until, Fleet};
+use crate::fleet::{config, document, req, row, until, Fleet};
 use crate::srv::{Manner, Srv, FULL, GOOD};
 use crate::{ms, srv};
 use lupinledge_example::http::{Client, Message};
@@ -169,6 +169,7 @@
     drop(beside);
     let (again, text) = request("k-1");
     assert_repeats(&first, &again, &f.ask(&text));
+    assert_eq!(f.metric("operations.claims_waiting"), Some(0), "its own claim is given up");
     assert_eq!(s.got().len(), 1);
 }
 
@@ -212,13 +213,13 @@
 fn no_majority() {
     let s = srv("i-1", GOOD);
     let f = start(&s);
-    f.hive.alone_among(3);
+    f.alone_among(3);
     let answer = f.ask(&within(1000, "k-1").1);
     assert_eq!((answer.status(), answer.header("retry-after")), (503, Some("0.300")));
     assert!(f.hive.votes.claims.load(Ordering::SeqCst) > 0 && s.got().is_empty());
     assert_eq!(f.metric("operations.claims_unavailable"), Some(1));
     until("the claim is withdrawn", || f.hive.votes.held.load(Ordering::SeqCst) == 0);
-    f.hive.alone_among(1);
+    f.alone_among(1);
     let (id, text) = request("k-1");
     assert_repeats(&id, &id, &f.ask(&text));
 }
@@ -241,8 +242,9 @@
 /// TWICE, MIXED: at SIGTERM an operation whose client has left is seen to its end, and a voter is given the answer.
 #[test]
 fn an_operation_ends_before_its_gateway_does() {
-    let s = srv("i-1", Manner::Answer(ms(700)));
-    let mut f = start(&s);
+    // longer than connections are taken for, and well within the grace
+    let s = srv("i-1", Manner::Answer(ms(2700)));
+    let mut f = Fleet::with(vec![row(&s, "a")], &keyed(), json!({"grace_s": 4}));
     let beside = f.beside();
     let (first, text) = request("k-1");
     let mut client = Client::to(f.front).unwrap();
@@ -256,3 +258,68 @@
     assert_repeats(&first, &again, &beside.ask(&text));
     assert_eq!(s.got().len(), 1);
 }
+
+/// TWICE, MIXED: of two gateways that claim a key at once while only just enough voters are there, each of which may have
+/// granted it to another, one gets to run it, and both answer alike.
+#[test]
+fn two_gateways_claim_at_once() {
+    let s = srv("i-1", GOOD);
+    let f = start(&s);
+    let beside = f.beside();
+    let voter = f.voter_among(3);
+    let one_runs = |key: &str| {
+        // the voter is known once a claim of each is granted
+        let here = f.ask(&request(&format!("{key}-here")).1).status();
+        [here, beside.ask(&request(&format!("{key}-there")).1).status()] == [200, 200]
+    };
+    let mut tries = 0;
+    until("both reach the voter", || {
+        tries += 1;
+        one_runs(&format!("warm-{tries}"))
+    });
+    let before = s.got().len();
+    for nth in 0..8 {
+        let key = format!("k-{nth}");
+        let asked = [f.front, beside.front].map(|front| ask_apart(front, request(&key).1));
+        let [here, there] = asked.map(|asked| asked.join().unwrap());
+        assert_eq!((here.status(), there.status()), (200, 200));
+        assert_eq!(here.text(), there.text());
+    }
+    assert_eq!(s.got().len() - before, 8);
+    assert!(voter.votes.claims.load(Ordering::SeqCst) > 0);
+}
+
+/// ROUTE, DENIED: a request whose key is granted late goes by the configuration in force then, and its key is free again
+/// if it does not go.
+#[test]
+fn a_claim_goes_by_the_configuration_in_force_when_it_is_granted() {
+    let s = srv("i-1", GOOD);
+    let f = start(&s);
+    f.hive.votes.silent.store(true, Ordering::SeqCst);
+    let asked = ask_apart(f.front, request("k-1").1);
+    until("it is claimed", || f.hive.votes.claims.load(Ordering::SeqCst) > 0);
+    f.follow(document(2, &config(), &[]));
+    f.hive.votes.silent.store(false, Ordering::SeqCst);
+    assert_eq!(asked.join().unwrap().status(), 503);
+    until("the key is free", || f.hive.votes.held.load(Ordering::SeqCst) == 0);
+    assert!(s.got().is_empty());
+}
+
+/// HOME: a voter outside a tenant's home regions is given no answer to keep; the repeat is told that the outcome is not
+/// known then.
+#[test]
+fn answers_are_kept_at_home() {
+    let s = Srv::start("i-1", "wold-1", GOOD);
+    let f = start(&s);
+    let beside = f.beside();
+    let homed = |text: String| text.replace("Token key", "Token wold-key");
+    assert_eq!(beside.ask(&homed(request("k-1").1)).status(), 200);
+    let (first, text) = request("k-1");
+    assert_eq!(beside.ask(&text).status(), 200);
+    until("the voter keeps one", || f.hive.votes.answer_bytes.load(Ordering::SeqCst) > 0);
+    drop(beside);
+    let (again, text) = request("k-1");
+    assert_repeats(&first, &again, &f.ask(&text));
+    assert_eq!(f.ask(&homed(within(1500, "k-1").1)).status(), 502);
+    assert_eq!(s.got().len(), 2);
+}
