Logs: a refused order tells its reason, and a gateway what it waits for

Cause: on the shared sites the log of the core bore nothing of the order that it refused, and a gateway's log ended with `started`: nobody could see from the system's own logs why no gateway serves. Ruled out: logging each answer (503 and 307 are no refusals), and the whole text (it quotes what was sent, up to megabytes).

--- a/forager/src/pools.rs
+++ b/forager/src/pools.rs
@@ -108,9 +108,13 @@
         self.wanted.borrow().tables.clone()
     }
 
-    /// Whether every service of the configuration has its servers told.
-    pub fn listed(&self) -> bool {
-        self.wanted.borrow().list.number > (0, 0) && !self.wanted.borrow().pools.is_empty()
+    /// What has not come yet of what requests are sent by; none once every service has its servers told.
+    pub fn lacks(&self) -> Option<&'static str> {
+        let wanted = self.wanted.borrow();
+        if wanted.pools.is_empty() {
+            return Some("configuration");
+        }
+        (wanted.list.number == (0, 0)).then_some("servers")
     }
 
     /// The pool of a service, and the places of a route and a tenant in its terms.
--- a/forager/src/start.rs
+++ b/forager/src/start.rs
@@ -27,6 +27,8 @@
 const RESERVED: usize = 200 + 64;
 /// The hive's clock is waited for so long; then the own one has to do.
 const CLOCK_WAIT: Duration = Duration::from_secs(3);
+/// What a process that is not ready yet lacks is told after so long: a new holder has been found by then.
+const WAITING_TOLD: Duration = Duration::from_secs(2);
 /// At SIGTERM before it is ready, what was answered has so long to get out.
 const LAST: Duration = Duration::from_millis(250);
 /// Of the time that the platform gives after SIGTERM: new connections are taken for this part, and the last answers
@@ -119,13 +121,19 @@
     let soon = nest.clone();
     let early = Early(move || soon.soon());
     let early = Clients::start(Rc::new(early), counters, bounds(3.0, 15.0, 16 << 10));
+    let began = Instant::now();
     let rising = async {
         let clock = nest.clock(CLOCK_WAIT).await;
         let pools = Pools::new(nest.settings(), clock, ledger, server_places, seed);
         nest.open(pools.clone());
         tokio::task::spawn_local(nest.clone().upkeep());
         tracing::info!(event = "started", node = %told.ip, zone = %told.zone);
-        while !pools.listed() {
+        metrics.show(pools.clone());
+        let mut told = None;
+        while let Some(lacks) = pools.lacks() {
+            if began.elapsed() >= WAITING_TOLD && told.replace(lacks) != Some(lacks) {
+                tracing::warn!(event = "waiting", lacks);
+            }
             let _ = timeout(Duration::from_millis(100), nest.woken.notified()).await;
         }
         pools
@@ -143,7 +151,6 @@
         tracing::info!(event = "ended", taken = 0);
         return Ok(());
     };
-    metrics.show(pools.clone());
     let door = Door::new(pools.clone(), told.limits.memory_mb, seed);
     let clients = Clients::start(door, pools.counters.clone(), bounds(3.0, 15.0, 16 << 10));
     ready.set(true);
--- a/forager/tests/start.rs
+++ b/forager/tests/start.rs
@@ -2,7 +2,7 @@
 
 use lupinledge_example::waits;
 use lupinledge_messaging::{decode, Word};
-use std::io::{Read, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -42,6 +42,12 @@
 
 /// The program with a seed that answers nothing, its address for clients, and the seed's datagrams.
 fn start() -> (Forager, SocketAddr, UdpSocket) {
+    let (forager, front, _, hive) = start_logging_to(Stdio::null());
+    (forager, front, hive)
+}
+
+/// The same with its log written there; also its address for figures.
+fn start_logging_to(log: Stdio) -> (Forager, SocketAddr, SocketAddr, UdpSocket) {
     static FILES: AtomicU64 = AtomicU64::new(0);
     let (front, ready, seed) = (port(), port(), port());
     let (first, hive) = loop {
@@ -59,13 +65,10 @@
     );
     std::fs::write(&path, text).expect("a settings file");
     let mut program = Command::new(env!("CARGO_BIN_EXE_lupinledge-forager"));
-    program
-        .env("LUPINLEDGE_NODE_FILE", &path)
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::null());
+    program.env("LUPINLEDGE_NODE_FILE", &path).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
     let program = Forager(program.spawn().expect("the program"), path);
-    (program, SocketAddr::from((Ipv4Addr::LOCALHOST, front)), hive)
+    let [front, ready] = [front, ready].map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+    (program, front, ready, hive)
 }
 
 /// With nobody to learn the state from, clients are answered all the same, at once and with when to come back; the
@@ -109,3 +112,19 @@
         assert!(forager.passed(began, here) < SOON, "the clock is not asked for");
     }
 }
+
+/// A gateway that nothing was told to says what it waits for, in its log and in its figures.
+#[test]
+fn a_gateway_without_a_configuration_says_so() {
+    let (log, to) = std::io::pipe().expect("a pipe");
+    let (_forager, _, ready, _hive) = start_logging_to(Stdio::from(to));
+    let mut lines = BufReader::new(log).lines().map_while(Result::ok);
+    assert!(lines.any(|line| line.contains("event=waiting lacks=configuration")));
+    let mut stream = TcpStream::connect(ready).expect("its figures' address");
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    let head = "GET /lupinledge/metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    stream.write_all(head.as_bytes()).expect("written");
+    let mut figures = String::new();
+    stream.read_to_string(&mut figures).expect("its figures");
+    assert!(figures.lines().any(|line| line == "configuration.version 0"), "{figures}");
+}
--- a/hive/src/command.rs
+++ b/hive/src/command.rs
@@ -23,6 +23,16 @@
         }
     }
 
+    /// What it changes, as it is named in the log; none for a question.
+    pub fn changes(&self) -> Option<&'static str> {
+        match self {
+            Command::PutConfig { .. } => Some("configuration"),
+            Command::Evacuate { .. } => Some("evacuation"),
+            Command::Restore { .. } => Some("restoration"),
+            Command::GetConfig => None,
+        }
+    }
+
     /// As an order on a document.
     pub fn order(&self) -> Order<'_> {
         match self {
--- a/hive/src/control.rs
+++ b/hive/src/control.rs
@@ -185,7 +185,11 @@
     }
 
     async fn whole(&self, body: Incoming) -> Result<Bytes, Answer> {
-        let too_large = || refuse(Kind::TooLarge, "body: over 16 MB");
+        let too_large = || {
+            let text = "body: over 16 MB";
+            self.hive.refused("configuration", Kind::TooLarge, text);
+            refuse(Kind::TooLarge, text)
+        };
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err(too_large());
         }
--- a/hive/src/hive.rs
+++ b/hive/src/hive.rs
@@ -7,6 +7,7 @@
 use crate::counts::Counts;
 use crate::directory::Directory;
 use crate::nodes;
+use crate::refusals::Refusals;
 use eyre::{eyre, WrapErr};
 use lupinledge_gossip::{metrics, seeds_of, Gossip, Host, News, Source};
 use lupinledge_messaging::list::List;
@@ -41,6 +42,7 @@
     pub leaving: Cell<bool>,
     /// The newest version that was acknowledged from here.
     pub acknowledged: Cell<u64>,
+    pub refusals: Refusals,
     /// Index and prints of the document that is held.
     intent: Cell<(u64, Print)>,
     /// Changes that wait or run, and who waits for them.
@@ -100,6 +102,7 @@
             brood,
             leaving: Cell::new(false),
             acknowledged: Cell::new(0),
+            refusals: Refusals::default(),
             intent: Cell::default(),
             turns: RefCell::default(),
             callers: RefCell::default(),
@@ -177,6 +180,7 @@
         metrics::text(|line| {
             line("configuration.version", version);
             line("configuration.acknowledged", self.acknowledged.get());
+            line("orders.refused", self.refusals.count());
             line("document.serial", serial);
             line("document.epoch", ballot.epoch);
             line("document.index", ballot.index);
--- a/hive/src/main.rs
+++ b/hive/src/main.rs
@@ -12,6 +12,7 @@
 mod nodes;
 mod operator;
 mod platform;
+mod refusals;
 mod run;
 
 use control::Control;
--- a/hive/src/run.rs
+++ b/hive/src/run.rs
@@ -37,7 +37,20 @@
     pub async fn run(self: Rc<Hive>, command: Command) -> Reply {
         let bytes = command.body().map_or(0, <[u8]>::len);
         let wait = ANSWER_WAIT + BYTE_WAIT * u32::try_from(bytes).unwrap_or(u32::MAX);
-        timeout(wait, self.carry_out(command)).await.unwrap_or(Reply::Later)
+        let changes = command.changes();
+        let reply = timeout(wait, self.clone().carry_out(command)).await.unwrap_or(Reply::Later);
+        if let (Some(order), Reply::Refused { kind, text }) = (changes, &reply) {
+            self.refused(order, *kind, text);
+        }
+        reply
+    }
+
+    /// Tells of an order that was refused for good; one that may be sent again is no more than late.
+    pub fn refused(&self, order: &str, kind: Kind, text: &str) {
+        if kind.status() < 500 {
+            let in_force = self.agree.agreed().map_or(0, |agreed| agreed.document.version);
+            self.refusals.record(self.clock.now() as u64, order, kind, text, in_force);
+        }
     }
 
     async fn carry_out(self: Rc<Hive>, command: Command) -> Reply {
