Tests: a configuration with a keyed route is read, taken and served

Ruled out: reading unknown words leniently: words that no page names stay refused, and `keyed` must not be read as one of the two others (its keys would run as often as they are sent); propolis/tests/words.rs holds both.

--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -5,6 +5,7 @@
 mod drift;
 mod fleet;
 mod hive;
+mod keyed;
 mod log;
 mod rogue;
 mod srv;
--- a/hive/tests/orders.rs
+++ b/hive/tests/orders.rs
@@ -31,6 +31,17 @@
     text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' ')?.trim().parse().ok())
 }
 
+/// FAULT: a kind that one side does not know kept a whole fleet without a configuration.
+#[test]
+fn a_first_configuration_with_a_keyed_route_is_acknowledged() {
+    let core = Members::found(None);
+    let keyed = with_kind("keyed");
+    let (status, text, _) = put(&core, &keyed);
+    assert_eq!(status, 200, "{text}");
+    let read = until("it is read back", || core.followed(1, ("GET", CONFIG), b"", CALL));
+    assert_eq!((read.0, read.1), (200, keyed));
+}
+
 #[test]
 fn a_refused_order_is_logged_with_its_reason() {
     let core = Members::found(None);
--- /dev/null
+++ b/propolis/tests/words.rs
@@ -0,0 +1,37 @@
+//! The words that the protocol's pages name for a field are read, and each as what it is.
+
+mod common;
+
+use common::{bytes, example};
+use lupinledge_propolis::check;
+use lupinledge_propolis::config::RouteKind;
+use serde_json::json;
+
+/// The kind that a route is read with.
+fn read_kind(word: &str) -> Result<RouteKind, String> {
+    let mut config = example();
+    config["listeners"][0]["rules"][0]["route_kind"] = json!(word);
+    let config = check(&bytes(&config), Some(5)).map_err(|fault| fault.to_string())?;
+    Ok(config.listeners[0].rules[0].route_kind)
+}
+
+#[test]
+fn kinds_that_concern_one_try_are_read() {
+    assert_eq!(read_kind("idempotent"), Ok(RouteKind::Idempotent));
+    assert_eq!(read_kind("non_idempotent"), Ok(RouteKind::NonIdempotent));
+}
+
+/// Read as another kind, its keys would run as often as they are sent.
+#[test]
+fn a_keyed_route_is_read_as_a_kind_of_its_own() {
+    let kind = read_kind("keyed").expect("a kind that the pages name");
+    assert!(![RouteKind::Idempotent, RouteKind::NonIdempotent].contains(&kind), "{kind:?}");
+}
+
+#[test]
+fn a_kind_that_no_page_names_is_refused() {
+    for word in ["", "Keyed", "KEYED", " keyed", "keyed ", "key", "sometimes", "idempotent,keyed"] {
+        let fault = read_kind(word).expect_err(word);
+        assert!(fault.starts_with("listeners[0].rules[0].route_kind: "), "{fault}");
+    }
+}
