--- a/propolis/tests/words.rs
+++ b/propolis/tests/words.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{bytes, example};
-use lupinledge_propolis::check;
 use lupinledge_propolis::config::RouteKind;
+use lupinledge_propolis::{check, Settings};
 use serde_json::json;
 
 /// The kind that a route is read with.
@@ -35,3 +35,20 @@
         assert!(fault.starts_with("listeners[0].rules[0].route_kind: "), "{fault}");
     }
 }
+
+/// What the settings say of other parts than this process stops no process, whichever words come next.
+#[test]
+fn words_that_decide_nothing_are_taken() {
+    let settings = json!({
+        "ip": "10.1.0.22", "zone": "z", "region": "r", "port_range": [7460, 7475],
+        "role": "new", "machine_class": "new", "serves": ["edge", "new"],
+        "discovery": "new", "entry": "new", "contracts": ["base", "keys", "new"],
+        "bounds": {"key_window_s": 60, "fenced": true, "new_s": "word"},
+        "cloud_api": {"address": "10.200.0.136:8382", "duties": ["new"]},
+    });
+    Settings::parse(&bytes(&settings)).expect("settings with words of other releases");
+    let mut config = example();
+    config["clusters"][0]["dedupes"] = json!(true);
+    config["clusters"][0]["new"] = json!("word");
+    check(&bytes(&config), Some(5)).expect("a configuration with words of other releases");
+}
