--- a/forager/tests/rules/main.rs
+++ b/forager/tests/rules/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod hive;
 mod keyed;
+mod keyed_route;
 mod log;
 mod rogue;
 mod srv;
--- a/hive/src/main.rs
+++ b/hive/src/main.rs
@@ -13,6 +13,7 @@
 mod operations;
 mod operator;
 mod platform;
+mod refusals;
 mod run;
 
 use control::Control;
