Operations: a claim that waits is asked for again less and less often

Change: the first late vote has those asked that were not; only then all, and each wait is twice the one before. Ruled out: voters that don't vote (their logs say that they did).

--- a/operations/src/claims.rs
+++ b/operations/src/claims.rs
@@ -12,7 +12,8 @@
 const PENDING_MOST: usize = 4096;
 /// How long a vote usually takes is followed by this share of each new one.
 const SMOOTHING: f64 = 0.2;
-/// A vote is awaited for so many times its usual time before others are asked too, within these bounds, seconds.
+/// A vote is awaited for so many times its usual time before others are asked too, within these bounds, seconds. Each
+/// further wait is twice as long: voters that are slow by their load are not to be asked more.
 const PATIENCE: f64 = 2.0;
 const PATIENCE_LEAST: f64 = 0.03;
 const PATIENCE_MOST: f64 = 0.3;
@@ -60,6 +61,8 @@
     /// Who answered otherwise than by granting it.
     refused: Vec<Node>,
     next_ask: f64,
+    /// How often voters were asked.
+    rounds: i32,
 }
 
 impl Pending {
@@ -126,6 +129,7 @@
             granted: BTreeMap::new(),
             refused: Vec::new(),
             next_ask: f64::INFINITY,
+            rounds: 0,
         };
         let first = self.electorates.last().map_or(voters.len(), |(_, electorate)| enough(electorate));
         self.ask(claim, &mut pending, first, out);
@@ -182,9 +186,11 @@
         for claim in late {
             let Some(mut pending) = self.pending.remove(&claim) else { continue };
             let all = pending.voters.len();
-            // those that were asked may not have heard it
-            pending.asked.retain(|node, _| pending.granted.contains_key(node));
-            pending.refused.clear();
+            if pending.asked.len() >= all {
+                // those that were asked may not have heard it
+                pending.asked.retain(|node, _| pending.granted.contains_key(node));
+                pending.refused.clear();
+            }
             self.ask(claim, &mut pending, all, out);
             self.pending.insert(claim, pending);
         }
@@ -231,7 +237,8 @@
             patience = patience.max(PATIENCE * usual);
             out.push(Out::Send(node, Message::Claim { key, claim, fingerprint, keep, electorate }));
         }
-        pending.next_ask = self.now + patience.min(PATIENCE_MOST);
+        pending.next_ask = self.now + patience.min(PATIENCE_MOST) * f64::powi(2.0, pending.rounds);
+        pending.rounds += 1;
     }
 
     /// Those that granted it under another electorate are asked again, as their votes don't count with this one.
