Gateway: claims that share the votes give way in one order

Cause: with several holders of a key, requests looked at them in the order of votes, so that one may never have looked at the claim to which it has to give way. Change: holders are looked at by their numbers, those with a kept answer first. Ruled out: nothing.

--- a/forager/src/operations/claim.rs
+++ b/forager/src/operations/claim.rs
@@ -67,8 +67,11 @@
         self.withdrawn.get()
     }
 
+    /// Those that are answered first, then by their numbers: all requests of a key look at the same one first.
     pub fn holders(&self) -> Vec<Holder> {
-        self.holders.borrow().clone()
+        let mut holders = self.holders.borrow().clone();
+        holders.sort_unstable_by_key(|holder| (holder.answered_at.is_none(), holder.by));
+        holders
     }
 
     /// Until something of it may have changed.
@@ -83,3 +86,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
