Gateway: the order of voters as a function of its own, with tests

Cause: whom a claim is sent to first decides what it costs, and no test held it. Change: Place::voters takes the members and nothing else; tests for the order and for the spread over far voters. Ruled out: nothing.

--- a/forager/src/operations.rs
+++ b/forager/src/operations.rs
@@ -29,6 +29,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::sleep;
+use voters::Place;
 
 /// Bytes of answers that are remembered, of the process's memory.
 const ANSWERS: f64 = 0.1;
@@ -41,8 +42,7 @@
 /// All operations of this process.
 pub struct Operations {
     gossip: Rc<Gossip>,
-    zone: String,
-    region: String,
+    place: Place,
     claims: RefCell<Claims>,
     memory: RefCell<Memory>,
     /// Claims whose requests wait for votes.
@@ -62,12 +62,13 @@
 impl Operations {
     /// With no operation yet. Another start of the process has another `start` number.
     pub fn start(gossip: Rc<Gossip>, settings: &Settings, start: u32) -> Rc<Operations> {
+        let (zone, region) = (settings.zone.clone(), settings.region.clone());
+        let place = Place { node: gossip.me(), zone, region };
         let answer_bytes = (settings.limits.memory_mb * 1e6 * ANSWERS) as usize;
         let operations = Rc::new(Operations {
             claims: RefCell::new(Claims::new(gossip.now(), gossip.me(), start)),
             gossip,
-            zone: settings.zone.clone(),
-            region: settings.region.clone(),
+            place,
             memory: RefCell::new(Memory::new(OPERATIONS_MOST, answer_bytes)),
             pending: RefCell::default(),
             asks: Asks::new(start),
--- a/forager/src/operations/voters.rs
+++ b/forager/src/operations/voters.rs
@@ -15,22 +15,44 @@
     Afar,
 }
 
-impl Operations {
-    /// The machines of the core, the nearest first, and behind all others those that seem to be gone.
-    pub(super) fn voters(&self) -> Vec<Node> {
-        let me = self.gossip.me();
-        let place = |member: &Member| {
-            let spread = (member.node ^ me).wrapping_mul(SPREAD);
+/// Where this gateway is.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub node: Node,
+    pub zone: String,
+    pub region: String,
+}
+
+impl Place {
+    /// The machines of the core among these, the nearest first, and behind all others those that seem to be gone.
+    pub fn voters<'a>(&self, members: impl Iterator<Item = &'a Member>) -> Vec<Node> {
+        let order = |member: &Member| {
+            let spread = (member.node ^ self.node).wrapping_mul(SPREAD);
             (member.standing != Standing::Alive, self.distance(member), spread)
         };
-        let mut voters = self.gossip.with(|swarm| {
-            let core = swarm.members().filter(|member| member.card.core);
-            core.map(|member| (place(member), member.node)).collect::<Vec<_>>()
-        });
+        let core = members.filter(|member| member.card.core);
+        let mut voters: Vec<_> = core.map(|member| (order(member), member.node)).collect();
         voters.sort_unstable();
         voters.into_iter().map(|(_, node)| node).collect()
     }
 
+    fn distance(&self, member: &Member) -> Distance {
+        if member.card.zone == self.zone {
+            Distance::Zone
+        } else if member.card.region == self.region {
+            Distance::Region
+        } else {
+            Distance::Afar
+        }
+    }
+}
+
+impl Operations {
+    /// Whom to send a claim to, in this order.
+    pub(super) fn voters(&self) -> Vec<Node> {
+        self.gossip.with(|swarm| self.place.voters(swarm.members()))
+    }
+
     /// The zone of a process, if it is known.
     pub(super) fn zone_of(&self, node: Node) -> Option<String> {
         self.gossip.with(|swarm| swarm.member(node).map(|member| member.card.zone.clone()))
@@ -41,14 +63,7 @@
         let there = |member: &Member| member.standing != Standing::Gone;
         self.gossip.with(|swarm| swarm.member(node).is_some_and(there))
     }
-
-    fn distance(&self, member: &Member) -> Distance {
-        if member.card.zone == self.zone {
-            Distance::Zone
-        } else if member.card.region == self.region {
-            Distance::Region
-        } else {
-            Distance::Afar
-        }
-    }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/forager/src/operations/voters/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+use lupinledge_waggle::Card;
+use std::collections::BTreeSet;
+
+fn member(node: Node, core: bool, zone: &str, standing: Standing) -> Member {
+    let region = zone.split('-').next().unwrap_or_default().to_string();
+    let card = Card {
+        core,
+        region,
+        zone: zone.into(),
+        front: None,
+        control: None,
+        ready: true,
+        leaving: false,
+        rules: None,
+        load: 0,
+    };
+    Member { node, incarnation: 1, card, standing, since: 0.0, heard: 0.0, digest: Default::default() }
+}
+
+fn place(node: Node) -> Place {
+    Place { node, zone: "mead-1".into(), region: "mead".into() }
+}
+
+/// Own zone, own region, others; those that are not alive come last, and edge machines do not vote.
+#[test]
+fn the_nearest_vote_first() {
+    let members = [
+        member(1, true, "mead-1", Standing::Suspect),
+        member(2, true, "wold-1", Standing::Alive),
+        member(3, true, "mead-2", Standing::Alive),
+        member(4, false, "mead-1", Standing::Alive),
+        member(5, true, "mead-1", Standing::Alive),
+        member(6, true, "wold-1", Standing::Gone),
+    ];
+    assert_eq!(place(9).voters(members.iter()), [5, 3, 2, 1, 6]);
+    assert!(place(9).voters([].iter()).is_empty());
+}
+
+/// Where only other regions have a third voter, gateways do not all go to the same one.
+#[test]
+fn far_voters_share_the_work() {
+    let members = [2, 3, 7].map(|node| member(node, true, "wold-1", Standing::Alive));
+    let first: BTreeSet<Node> = (100..160).map(|node| place(node).voters(members.iter())[0]).collect();
+    assert_eq!(first, BTreeSet::from([2, 3, 7]));
+}
