Operations: a late claim asks all voters again, also those that granted it

Cause: votes count together only under one electorate. A vote given under the one before, which came behind a vote under the next, was never asked for again, nor was that of a voter that was alone when it voted: such a claim waited for its end and was refused. Safe, but each change of the electorate refuses what is in flight. Change: where a claim is late, all voters are asked again; a voter answers a claim that it granted by the electorate of then. Ruled out: only those under another electorate than the newest known, since the gateway may know of none newer.

--- a/operations/src/claims.rs
+++ b/operations/src/claims.rs
@@ -182,8 +182,8 @@
         for claim in late {
             let Some(mut pending) = self.pending.remove(&claim) else { continue };
             let all = pending.voters.len();
-            // those that were asked may not have heard it
-            pending.asked.retain(|node, _| pending.granted.contains_key(node));
+            // those that were asked may not have heard it; those that granted it may go by another electorate by now
+            pending.asked.clear();
             pending.refused.clear();
             self.ask(claim, &mut pending, all, out);
             self.pending.insert(claim, pending);
--- /dev/null
+++ b/operations/tests/electorate_changes.rs
@@ -0,0 +1,77 @@
+//! A gateway's claims while the voters come to another electorate one after the other.
+
+use lupinledge_operations::claims::{Claims, Out, Request};
+use lupinledge_operations::{ClaimId, Electorate, Fingerprint, Incarnation, Key, Message, Verdict};
+
+const REQUEST: Request = Request { key: Key(1, 2), fingerprint: Fingerprint(3), keep: 60.0, until: 1.5 };
+
+fn electorate(index: u64, members: &[u32], incarnations: &[(u32, u64)]) -> Electorate {
+    let incarnation = |number: u64| Incarnation { number, nonce: 1 };
+    Electorate {
+        index,
+        members: members.to_vec(),
+        outgoing: Vec::new(),
+        incarnations: incarnations.iter().map(|(node, number)| (*node, incarnation(*number))).collect(),
+    }
+}
+
+fn vote(claim: ClaimId, under: &Electorate, verdict: Verdict) -> Message {
+    Message::Vote { claim, electorate: under.id(), known: Some(under.clone()), verdict }
+}
+
+/// Whom a claim went to.
+fn asked(out: &[Out]) -> Vec<u32> {
+    let claimed = |order: &Out| match order {
+        Out::Send(node, Message::Claim { .. }) => Some(*node),
+        _ => None,
+    };
+    out.iter().filter_map(claimed).collect()
+}
+
+/// The claim of a gateway that knows nothing yet, with all of these asked.
+fn begun(voters: &[u32]) -> (Claims, ClaimId) {
+    let (mut claims, mut out) = (Claims::new(0.0, 100, 1), Vec::new());
+    let claim = claims.begin(0.0, REQUEST, voters, &mut out).unwrap();
+    assert_eq!(asked(&out), voters);
+    (claims, claim)
+}
+
+/// What the claims say when they want to be called next.
+fn tick(claims: &mut Claims) -> (f64, Vec<Out>) {
+    let (now, mut out) = (claims.next_wake(), Vec::new());
+    claims.tick(now, &mut out);
+    (now, out)
+}
+
+/// A vote that was given under the electorate before, and comes behind one under the next, is asked for again.
+#[test]
+fn a_vote_under_the_electorate_before_is_asked_for_again() {
+    let (before, after) = (electorate(1, &[1, 2, 3], &[]), electorate(1, &[1, 2, 3], &[(3, 1)]));
+    let (mut claims, claim) = begun(&[1, 2, 3]);
+    let mut out = Vec::new();
+    claims.heard(0.01, 1, vote(claim, &after, Verdict::Granted), &mut out);
+    claims.heard(0.01, 2, vote(claim, &before, Verdict::Granted), &mut out);
+    claims.heard(0.01, 3, vote(claim, &before, Verdict::Abstained), &mut out);
+    assert!(!out.contains(&Out::Granted(claim)), "no majority under one electorate");
+    let (now, out) = tick(&mut claims);
+    assert!(now < REQUEST.until && asked(&out).contains(&2), "{out:?}");
+    let mut out = Vec::new();
+    claims.heard(now, 2, vote(claim, &after, Verdict::Granted), &mut out);
+    assert!(out.contains(&Out::Granted(claim)));
+}
+
+/// Where all that are there granted it under an electorate of which too few are there, they are asked again: they may
+/// have come to another one.
+#[test]
+fn voters_that_come_to_another_electorate_later_are_heard() {
+    let (before, after) = (electorate(1, &[1, 8, 9], &[]), electorate(2, &[1], &[(8, 1), (9, 1)]));
+    let (mut claims, claim) = begun(&[1]);
+    let mut out = Vec::new();
+    claims.heard(0.01, 1, vote(claim, &before, Verdict::Granted), &mut out);
+    assert!(!out.contains(&Out::Granted(claim)));
+    let (now, out) = tick(&mut claims);
+    assert!(now < REQUEST.until && asked(&out) == [1], "{out:?}");
+    let mut out = Vec::new();
+    claims.heard(now, 1, vote(claim, &after, Verdict::Granted), &mut out);
+    assert!(out.contains(&Out::Granted(claim)));
+}
