--- a/operations/src/claims.rs
+++ b/operations/src/claims.rs
@@ -187,8 +187,8 @@
             let Some(mut pending) = self.pending.remove(&claim) else { continue };
             let all = pending.voters.len();
             if pending.asked.len() >= all {
-                // those that were asked may not have heard it
-                pending.asked.retain(|node, _| pending.granted.contains_key(node));
+                // those that were asked may not have heard it; those that granted it may go by another electorate now
+                pending.asked.clear();
                 pending.refused.clear();
             }
             self.ask(claim, &mut pending, all, out);
