--- a/skep/src/journal/segments.rs
+++ b/skep/src/journal/segments.rs
@@ -43,8 +43,6 @@
     next_number: u64,
     /// What the head of the newest segment covers.
     head_number: Option<u64>,
-    /// A segment that could not be begun may have left a file.
-    leftover: bool,
 }
 
 impl<F: Folder> Segments<F> {
@@ -68,7 +66,6 @@
             run,
             next_number: 1,
             head_number: None,
-            leftover: false,
         };
         Ok((segments, found.replayed))
     }
@@ -177,7 +174,11 @@
             heads: head.count,
         };
         let start = [header.encode(), head.bytes.clone()].concat();
-        let file = self.create(&name(header.segment), &start, &batch.bytes)?;
+        let name = name(header.segment);
+        let file = self.create(&name, &start, &batch.bytes).inspect_err(|_| {
+            // of a full disk it would take what room there is
+            let _ = self.folder.remove(&name);
+        })?;
         let bytes = (start.len() + batch.bytes.len()) as u64;
         self.segments.push_back(Segment {
             number: header.segment,
@@ -192,24 +193,12 @@
         Ok(())
     }
 
-    /// Makes a file that is on disk under its name, or none.
-    fn create(&mut self, name: &str, start: &[u8], batch: &[u8]) -> io::Result<File> {
-        if self.leftover {
-            remove(&self.folder, name)?;
-            self.leftover = false;
-        }
-        let folder = &self.folder;
-        let create = || {
-            let file = folder.create(name, [start, batch])?;
-            folder.sync(&file, name)?;
-            folder.sync_folder()?;
-            Ok(file)
-        };
-        let created = create();
-        if created.is_err() {
-            self.leftover = remove(folder, name).is_err();
-        }
-        created
+    /// Makes a file that is on disk under its name. What a try before left is cut to nothing.
+    fn create(&self, name: &str, start: &[u8], batch: &[u8]) -> io::Result<File> {
+        let file = self.folder.create(name, [start, batch])?;
+        self.folder.sync(&file, name)?;
+        self.folder.sync_folder()?;
+        Ok(file)
     }
 }
 
