Soak: keyed clients, runs with stamps of their own, and checks of operations

Cause: the soak sent nothing to a keyed route, so that nothing outside the unit tests showed whether an operation key runs once under kills, lost disks, cuts and freezes. Ruled out: judging by the existing per-request TWICE check, which goes by attempt ids; a key's tries each have their own. Change: a keyed route and key_window_s in the settings; servers note each run of a key and answer it with its own stamp and body; clients that repeat keys after failures, after good answers, later and twice at once through other gateways; checks TWICE, MIXED, DENIED, REFUSED, LOST and RECOVER of keyed operations, each with a planted violation; a disk is lost only while all voters vote.

--- a/soak/src/backend.rs
+++ b/soak/src/backend.rs
@@ -1,6 +1,7 @@
 //! An emulated server: runs requests, and misbehaves by a function of the seed and the request's id.
 
-use crate::record::{Arrival, Record};
+use crate::configuration::KEYED;
+use crate::record::{Arrival, OperationRun, Record, Seconds, Seen};
 use lupinledge_example::http::{self, Message};
 use socket2::SockRef;
 use std::collections::hash_map::DefaultHasher;
@@ -13,6 +14,9 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+/// Names the operation that a keyed request is a try of.
+pub const OPERATION_KEY: &str = "lupinledge-operation-key";
+
 /// Requests at once; more are turned away.
 const SLOTS: usize = 24;
 /// Work is done in such slices, and the connection looked at between them.
@@ -83,6 +87,11 @@
     }
 }
 
+/// A digest of a body.
+pub fn digest(body: &[u8]) -> u64 {
+    hash(body)
+}
+
 /// The body that belongs to a request; now and then a long one.
 pub fn body_for(id: &str) -> String {
     let dice = hash(id) as usize;
@@ -107,6 +116,29 @@
     connections: Arc<Mutex<HashMap<u64, TcpStream>>>,
 }
 
+/// What a request is about: the operation of a keyed one, else the request's own id.
+fn subject<'a>(message: &'a Message, id: &'a str) -> &'a str {
+    message.header(OPERATION_KEY).unwrap_or(id)
+}
+
+/// The stamp and the body of the answer to a request.
+struct Reply {
+    stamp: String,
+    body: String,
+}
+
+impl Reply {
+    /// The same for each run of a request without a key; it is told apart by its id.
+    fn plain(id: &str) -> Reply {
+        Reply { stamp: "stamp".into(), body: body_for(id) }
+    }
+
+    /// A keyed run's, which no other run has.
+    fn of_run(stamp: String) -> Reply {
+        Reply { body: body_for(&stamp), stamp }
+    }
+}
+
 struct Serving {
     id: String,
     service: &'static str,
@@ -222,12 +254,16 @@
     /// What of a request no client sent.
     fn fault(&self, message: &Message, id: &str) -> Option<&'static str> {
         let (path, body) = (message.start.split(' ').nth(1).unwrap_or_default(), message.text());
+        let subject = subject(message, id);
         match message {
+            _ if path.starts_with(KEYED) && message.header(OPERATION_KEY).is_none() => {
+                Some("no operation key")
+            }
             m if m.header("authorization").is_some() => Some("a key was passed on"),
             m if m.header("lupinledge-tenant").is_none() => Some("no tenant"),
-            _ if !path.ends_with(&format!("/{id}")) => Some("another path"),
+            _ if !path.ends_with(&format!("/{subject}")) => Some("another path"),
             _ if self.behaviour.deed(id) == Deed::Early => None,
-            m if m.start.starts_with("POST ") && body != request_body(id) => Some("another body"),
+            m if m.start.starts_with("POST ") && body != request_body(subject) => Some("another body"),
             m if m.start.starts_with("GET ") && !body.is_empty() => Some("a body that was not sent"),
             _ => None,
         }
@@ -244,7 +280,7 @@
         let deed = self.behaviour.deed(&id);
         let full = self.running.load(Ordering::SeqCst) > SLOTS;
         let ran = !full && deed != Deed::TurnAway;
-        let nth = {
+        let (nth, reply) = {
             let at = self.record.now();
             let arrival = Arrival {
                 id: id.clone(),
@@ -261,7 +297,12 @@
             };
             let mut seen = self.record.seen();
             seen.arrivals.push(arrival);
-            seen.arrivals.len() - 1
+            let nth = seen.arrivals.len() - 1;
+            let reply = match message.header(OPERATION_KEY) {
+                Some(operation) if ran => self.operation_run(&mut seen, operation, &id, at),
+                _ => Reply::plain(&id),
+            };
+            (nth, reply)
         };
         if !ran {
             to.write_all(answer("503 Full", &id, "Lupinledge-Not-Executed: full\r\n", "").as_bytes())?;
@@ -281,7 +322,21 @@
         if stopped {
             return Ok(false);
         }
-        self.reply(deed, &id, to)
+        self.reply(deed, &id, &reply, to)
+    }
+
+    /// Notes a run of a keyed operation; its answer is its own.
+    fn operation_run(&self, seen: &mut Seen, operation: &str, attempt: &str, at: Seconds) -> Reply {
+        let reply = Reply::of_run(format!("run-{}", seen.operation_runs.len()));
+        seen.operation_runs.push(OperationRun {
+            operation: operation.into(),
+            attempt: attempt.into(),
+            server: self.id.clone(),
+            at,
+            stamp: reply.stamp.clone(),
+            body: digest(reply.body.as_bytes()),
+        });
+        reply
     }
 
     /// Works for so long; whether it stopped because the connection was closed.
@@ -296,9 +351,9 @@
         false
     }
 
-    fn reply(&self, deed: Deed, id: &str, to: &mut TcpStream) -> io::Result<bool> {
-        let stamp = "Lupinledge-Server-Stamp: stamp\r\n";
-        let good = answer("200 OK", id, stamp, &body_for(id));
+    fn reply(&self, deed: Deed, id: &str, reply: &Reply, to: &mut TcpStream) -> io::Result<bool> {
+        let stamp = &format!("Lupinledge-Server-Stamp: {}\r\n", reply.stamp);
+        let good = answer("200 OK", id, stamp, &reply.body);
         match deed {
             Deed::LoseAnswer => {
                 SockRef::from(&*to).set_linger(Some(Duration::ZERO))?;
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -4,6 +4,7 @@
 use crate::configuration::{
     FREE, HOME, HOMED, LIMITED, MAX_ATTEMPTS, MOVING, READ, ROTATING, UNKNOWN_KEY, ZONES,
 };
+use crate::operation_checks::Operations;
 use crate::record::{Arrival, Ending, Process, Seconds, Seen, Sent, Version};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -69,6 +70,7 @@
             found.extend(of_request.map(|what| format!("{what}: {}", self.story(sent))));
         }
         found.extend(self.seen.arrivals.iter().filter_map(|a| self.of_arrival(a)));
+        found.extend(Operations::new(self.seen).violations());
         if scope == Scope::All {
             found.extend(self.timed());
         }
@@ -84,6 +86,8 @@
         }
         found.extend(self.seen.arrivals.iter().filter_map(|a| self.evacuated(a)));
         found.extend(self.lost());
+        let calm = |edge, at: Seconds, ended: Seconds| self.edge_calm(edge, at - CONTACT, ended + HARNESS);
+        found.extend(Operations::new(self.seen).lost(|sent| calm(sent.edge, sent.at, sent.ended)));
         found.extend(self.quota());
         found.extend(self.budget());
         found.extend(self.gone());
@@ -246,12 +250,9 @@
             arrivals.iter().skip(1).for_each(|a| further.entry(a.service.as_str()).or_default().push(a.at));
         }
         let requests = |from: Seconds| {
-            self.seen
-                .sent
-                .iter()
-                .filter(|s| s.at >= from - RETRY_WINDOW && s.at < from + RETRY_WINDOW)
-                .count()
-                / 2
+            let plain = self.seen.sent.iter().map(|s| s.at);
+            let times = plain.chain(self.seen.operation_tries.iter().map(|s| s.at));
+            times.filter(|at| *at >= from - RETRY_WINDOW && *at < from + RETRY_WINDOW).count() / 2
         };
         let mut found = Vec::new();
         for (service, mut times) in further {
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -14,9 +14,9 @@
 use std::time::{Duration, Instant};
 
 /// What clients say that they wait.
-const DEADLINE: Duration = Duration::from_millis(2000);
+pub const DEADLINE: Duration = Duration::from_millis(2000);
 /// Beyond its deadline a client waits so long for a final answer.
-const PATIENCE: Duration = Duration::from_millis(1500);
+pub const PATIENCE: Duration = Duration::from_millis(1500);
 /// An answer of the directory is kept for so long.
 const KEEP: Duration = Duration::from_secs(2);
 
--- a/soak/src/configuration.rs
+++ b/soak/src/configuration.rs
@@ -13,6 +13,8 @@
 pub const READ: &str = "/read/";
 pub const PAY: &str = "/pay/";
 pub const HOMED: &str = "/homed/";
+/// The route whose requests run once per operation key.
+pub const KEYED: &str = "/keyed/";
 /// The route that leads to another service with each configuration.
 pub const MOVING: &str = "/moving/";
 
@@ -45,6 +47,8 @@
     pub const RETRY_RATIO: f64 = 0.2;
     pub const RETRY_WINDOW: f64 = 10.0;
     pub const RETRY_SLACK: f64 = 58.0;
+    /// Longer than a run of the soak: no key is free again within one.
+    pub const KEY_WINDOW: f64 = 900.0;
     /// Of the limited tenant.
     pub const RATE: f64 = 20.0;
     pub const BURST: f64 = 10.0;
@@ -58,6 +62,7 @@
         "slack_s": SLACK, "ack_s": ACK, "recover_s": RECOVER, "quota_window_s": QUOTA_WINDOW,
         "quota_excess": QUOTA_EXCESS, "quota_slack": QUOTA_SLACK, "retry_ratio": RETRY_RATIO,
         "retry_window_s": RETRY_WINDOW, "retry_slack": RETRY_SLACK, "catch_up_s": CATCH_UP, "drain_s": 2.5,
+        "key_window_s": KEY_WINDOW,
     })
 }
 
@@ -88,7 +93,8 @@
                     tenant(ROTATING, &rotating_key(version, mark), 0.0, 0.0)],
         "listeners": [{"host": HOST, "rules": [
             rule(READ, "idempotent", "alpha", &[]), rule(PAY, "non_idempotent", "alpha", &[]),
-            rule(HOMED, "non_idempotent", "beta", &[HOME]), rule(MOVING, "idempotent", moving_to(version), &[])]}],
+            rule(HOMED, "non_idempotent", "beta", &[HOME]), rule(MOVING, "idempotent", moving_to(version), &[]),
+            rule(KEYED, "keyed", "alpha", &[])]}],
         "clusters": SERVICES.map(cluster),
     })
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -347,7 +347,8 @@
             let says = |figure: &str, value: u64| self.cluster.metric(c.1, figure) == Some(value);
             let settled =
                 says("core.member", 1) && says("core.settled", 1) && says("core.members", cores as u64);
-            settled && !self.record.disturbed(c.1, since)
+            let votes = says("operations.votes", 1);
+            settled && votes && !self.record.disturbed(c.1, since)
         };
         (claims.len() == cores && claims.iter().all(counts)).then_some(claims)
     }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod cluster;
 pub mod configuration;
 pub mod faults;
+pub mod keyed_client;
+pub mod operation_checks;
 pub mod operator;
 pub mod platform;
 pub mod record;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -15,13 +15,14 @@
 
 const HELP: &str = "lupinledge-soak: the real programs on loopback under random faults, and a verdict
 
-    lupinledge-soak --programs DIR [--from SEED] [--seeds N] [--seconds S] [--clients N] [--jobs N]
+    lupinledge-soak --programs DIR [--from SEED] [--seeds N] [--seconds S] [--clients N] [--keyed N] [--jobs N]
                   [--edges N] [--cores N] [--limited N] [--troubles KIND,KIND...] [--pause MS..MS]
                   [--keep DIR] [--keep-all]
 
 --programs: the folder of lupinledge-hive and lupinledge-forager, built with the feature `cuts`
 --from: the first seed (1); --seeds: how many (1); --seconds: how long troubles go on in each run (20)
 --clients: those that keep to the protocol, some twelve requests a second each (10)
+--keyed: clients of the keyed route (4)
 --edges, --cores: processes of each kind (3 and 3); --limited: of 20 requests, those of the tenant with a quota (5)
 --troubles: kinds of trouble (all); --pause: milliseconds from one to the next within a spell (150..1100)
 --jobs: runs at a time (1); --keep: the folder for settings, disks and logs (a temporary one). What a run without a
@@ -70,6 +71,7 @@
         PathBuf::new(),
     );
     usual.clients = args.opt_value_from_str("--clients")?.unwrap_or(usual.clients);
+    usual.keyed = args.opt_value_from_str("--keyed")?.unwrap_or(usual.keyed);
     usual.limited = args.opt_value_from_str("--limited")?.unwrap_or(usual.limited);
     eyre::ensure!(usual.limited <= LIMITED_PLACES_MOST, "--limited: {LIMITED_PLACES_MOST} at most");
     usual.size.edges = args.opt_value_from_str("--edges")?.unwrap_or(usual.size.edges);
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -58,6 +58,44 @@
     pub stopped: bool,
 }
 
+/// One run of a keyed operation at a server.
+#[derive(Clone, Debug)]
+pub struct OperationRun {
+    pub operation: String,
+    /// The try that was sent to the server.
+    pub attempt: String,
+    pub server: String,
+    pub at: Seconds,
+    /// No other run has it.
+    pub stamp: String,
+    /// Digest of the body of its answer.
+    pub body: u64,
+}
+
+/// One try of a keyed operation, as its client saw it.
+#[derive(Clone, Debug)]
+pub struct OperationTry {
+    pub operation: String,
+    pub attempt: String,
+    /// Index of the edge process that took it.
+    pub edge: usize,
+    /// When its last byte was written.
+    pub at: Seconds,
+    pub ended: Seconds,
+    pub ending: Ending,
+    /// The server's stamp on the answer.
+    pub stamp: Option<String>,
+    /// Digest of the answer's body.
+    pub body: u64,
+}
+
+/// Operations that were sent and repeated after all troubles, from one edge process to another.
+#[derive(Clone, Debug)]
+pub struct OperationProbe {
+    pub edge: usize,
+    pub operations: Vec<String>,
+}
+
 /// One configuration that the operator sent.
 #[derive(Clone, Debug)]
 pub struct Version {
@@ -106,6 +144,9 @@
 pub struct Seen {
     pub sent: Vec<Sent>,
     pub arrivals: Vec<Arrival>,
+    pub operation_runs: Vec<OperationRun>,
+    pub operation_tries: Vec<OperationTry>,
+    pub operation_probes: Vec<OperationProbe>,
     pub versions: Vec<Version>,
     pub evacuations: Vec<Evacuation>,
     pub troubles: Vec<Trouble>,
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -8,6 +8,8 @@
 use crate::configuration::bounds::RECOVER;
 use crate::configuration::{LIMITED, UNKNOWN_KEY};
 use crate::faults::{Injector, Schedule};
+use crate::keyed_client::{keyed, probe};
+use crate::operation_checks::Operations;
 use crate::operator::Operator;
 use crate::platform::Platform;
 use crate::record::{Ending, Process, Record, Seen, Sent};
@@ -23,11 +25,15 @@
 const START: Duration = Duration::from_secs(60);
 /// Clients that keep to the protocol, unless told otherwise.
 pub const CLIENTS: u64 = 10;
+/// Clients of the keyed route.
+const KEYED_CLIENTS: u64 = 4;
 const MISBEHAVING: u64 = 2;
 /// Of a hundred requests, how many servers do not answer well.
 const FAULTY_IN_100: u64 = 8;
 /// After the last fault traffic goes on for this long beyond the recovery.
 const AFTER: Duration = Duration::from_secs(3);
+/// Probes of the keyed route have at least so many seconds.
+const PROBE: f64 = 5.0;
 /// What has not come by then never does, however busy the machine is.
 const UNTIMED_RECOVER: f64 = 120.0;
 /// What a process may hold at the end of a run, when no client is there any more.
@@ -44,6 +50,8 @@
     pub size: Size,
     /// Clients that keep to the protocol.
     pub clients: u64,
+    /// Clients of the keyed route.
+    pub keyed: u64,
     /// Of 20 requests, how many bear the limited tenant's key.
     pub limited: u8,
     pub schedule: Schedule,
@@ -63,6 +71,7 @@
             programs,
             size,
             clients: CLIENTS,
+            keyed: KEYED_CLIENTS,
             limited: LIMITED_PLACES,
             schedule,
             scope,
@@ -114,6 +123,10 @@
         let crowd = crowd.clone();
         clients.push(spawn(move || honest(crowd, nth)));
     }
+    for nth in 0..plan.keyed {
+        let crowd = crowd.clone();
+        clients.push(spawn(move || keyed(crowd, nth)));
+    }
     for nth in 0..MISBEHAVING {
         let crowd = crowd.clone();
         clients.push(spawn(move || misbehaving(crowd, nth)));
@@ -140,6 +153,7 @@
     let back = record.now();
     let within = if plan.scope == Scope::All { RECOVER } else { UNTIMED_RECOVER };
     recover(&record, &operator, &mut rng, back, within);
+    probe(&record, &cluster, behaviour, (back + within).max(record.now() + PROBE));
     sleep(AFTER);
     crowd.stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| drop(client.join()));
@@ -267,8 +281,9 @@
     let (requests, runs, troubles) =
         (seen.sent.len(), seen.arrivals.iter().filter(|a| a.ran).count(), seen.troubles.len());
     let summary = format!(
-        "requests={requests} runs={runs} endings={endings:?} versions={acknowledged}/{} troubles={troubles} most_limited={limited}@{at:.1}",
-        seen.versions.len()
+        "requests={requests} runs={runs} endings={endings:?} versions={acknowledged}/{} troubles={troubles} most_limited={limited}@{at:.1} {}",
+        seen.versions.len(),
+        Operations::new(&seen).summary()
     );
     Verdict { violations, summary }
 }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -1,10 +1,14 @@
 //! Each check finds what it is there for, and finds nothing in a run in which nothing was broken.
 
 use lupinledge_soak::checks::{Evidence, Scope};
+use lupinledge_soak::configuration::bounds::KEY_WINDOW;
 use lupinledge_soak::configuration::{
     moving_to, rotating_key, FREE, HOMED, LIMITED, MOVING, PAY, READ, UNKNOWN_KEY,
 };
-use lupinledge_soak::record::{Arrival, Ending, Evacuation, Process, Seen, Sent, Trouble, Version};
+use lupinledge_soak::record::{
+    Arrival, Ending, Evacuation, OperationProbe, OperationRun, OperationTry, Process, Seen, Sent, Trouble,
+    Version,
+};
 use test_case::test_case;
 
 fn answered(status: u16) -> Ending {
@@ -58,9 +62,47 @@
         seen.arrivals.push(run(&sent, "i-1"));
         seen.sent.push(sent);
     }
+    // the first runs, the second is its repeat through another edge process, the third was never served
+    operation(&mut seen, "served", 24.0, answered(200));
+    seen.operation_runs.push(operation_run("served", 24.0));
+    operation(&mut seen, "served", 25.0, answered(200));
+    operation(&mut seen, "refused", 26.0, answered(503));
+    seen.operation_probes
+        .push(OperationProbe { edge: 0, operations: vec!["refused".into(), "served".into()] });
     seen
 }
 
+fn attempt(operation: &str, at: f64) -> String {
+    format!("{operation}.{at}")
+}
+
+/// One more try of an operation; a success has the stamp and body of the run at 24.0.
+fn operation(seen: &mut Seen, operation: &str, at: f64, ending: Ending) {
+    let success = matches!(ending, Ending::Answered { status: 200..300, .. });
+    seen.operation_tries.push(OperationTry {
+        operation: operation.into(),
+        attempt: attempt(operation, at),
+        edge: 0,
+        at,
+        ended: at + 0.5,
+        ending,
+        stamp: success.then(|| "stamp-24".into()),
+        body: if success { 24 } else { 0 },
+    });
+}
+
+/// The run of the try that was sent at that time.
+fn operation_run(operation: &str, at: f64) -> OperationRun {
+    OperationRun {
+        operation: operation.into(),
+        attempt: attempt(operation, at),
+        server: "i-1".into(),
+        at: at + 0.02,
+        stamp: format!("stamp-{at}"),
+        body: at as u64,
+    }
+}
+
 fn found(seen: &Seen) -> Vec<String> {
     Evidence::new(seen).violations(Scope::All)
 }
@@ -114,6 +156,26 @@
     s.arrivals.push(Arrival { worked_until: left.ended + 2.0, ..run(&left, "i-1") });
     s.sent.push(left);
 }; "work for nobody")]
+#[test_case("TWICE", |s| s.operation_runs.push(operation_run("served", 25.0)); "a key ran twice")]
+#[test_case("TWICE", |s| s.operation_runs.extend([26.0, 26.0 + KEY_WINDOW - 1.0].map(|at| operation_run("other", at))); "a key ran twice within its window")]
+#[test_case("MIXED", |s| s.operation_runs[0].stamp = "another".into(); "stamps of no run")]
+#[test_case("MIXED", |s| s.operation_runs[0].body = 7; "bodies of no run")]
+#[test_case("MIXED", |s| s.operation_runs[0].operation = "other".into(); "another key's run")]
+#[test_case("MIXED", |s| operation(s, "other", 27.0, Ending::Answered { status: 200, fault: Some("body") }); "a keyed answer with a fault")]
+#[test_case("DENIED", |s| operation(s, "served", 27.0, answered(422)); "a proper repeat was taken for another request")]
+#[test_case("DENIED", |s| operation(s, "other", 27.0, answered(400)); "a proper key denied")]
+#[test_case("REFUSED", |s| {
+    operation(s, "other", 27.0, answered(503));
+    s.operation_runs.push(operation_run("other", 27.0));
+}; "a key refused and ran")]
+#[test_case("REFUSED", |s| {
+    operation(s, "other", 27.0, answered(429));
+    s.operation_runs.push(operation_run("other", 27.0));
+}; "a key over quota and ran")]
+#[test_case("LOST", |s| operation(s, "other", 27.0, Ending::Broken); "a keyed one broken")]
+#[test_case("RECOVER", |s| s.operation_probes[0].operations.truncate(1); "no fresh key served")]
+#[test_case("RECOVER", |s| s.operation_probes[0].operations.clear(); "no fresh key tried")]
+#[test_case("RECOVER", |s| s.operation_tries[1].ending = answered(502); "a repeat not answered")]
 #[test_case("noted", |s| s.violations.push("noted".into()); "seen as it happened")]
 fn found_alone(what: &str, change: Change) {
     let mut seen = sound();
@@ -122,6 +184,31 @@
     assert!(!found.is_empty() && found.iter().all(|f| f.starts_with(what)), "{found:?}");
 }
 
+/// Successes that are each a run's own, but not alike; both faults are told.
+#[test]
+fn repeats_that_are_answered_differently() {
+    let mut seen = sound();
+    seen.operation_probes.clear();
+    seen.operation_runs.push(operation_run("served", 25.0));
+    let repeat = &mut seen.operation_tries[1];
+    (repeat.stamp, repeat.body) = (Some("stamp-25".into()), 25);
+    let found = found(&seen);
+    let told = |what: &str| found.iter().filter(|f| f.starts_with(what)).count();
+    assert!(found.len() == 2 && told("MIXED") == 1 && told("TWICE") == 1, "{found:?}");
+}
+
+/// A run after the key's window is a new operation's; a refusal and a repeat elsewhere are no fault.
+#[test]
+fn what_keyed_requests_may_meet() {
+    let mut seen = sound();
+    seen.operation_runs.push(operation_run("late", 30.0));
+    seen.operation_runs.push(operation_run("late", 30.0 + KEY_WINDOW + 1.0));
+    for (at, status) in [(31.0, 409), (32.0, 429), (33.0, 500), (34.0, 502), (35.0, 503)] {
+        operation(&mut seen, "late", at, answered(status));
+    }
+    assert_eq!(found(&seen), Vec::<String>::new());
+}
+
 /// Promises with a bound in time are for edge processes in touch; planned work excuses no broken request.
 #[test]
 fn what_excuses() {
