--- a/soak/src/operation_checks.rs
+++ b/soak/src/operation_checks.rs
@@ -1,7 +1,7 @@
 //! The verdict on keyed operations: what servers ran against what clients were answered.
 
-use crate::configuration::bounds::{KEY_WINDOW, SLACK};
-use crate::record::{Ending, OperationProbe, OperationRun, OperationTry, Seen};
+use crate::configuration::bounds::{CONTACT, KEY_WINDOW, SLACK};
+use crate::record::{Ending, OperationProbe, OperationRun, OperationTry, Seconds, Seen};
 use std::collections::{BTreeMap, HashMap};
 
 /// All runs and tries, by operation and by try.
@@ -128,6 +128,33 @@
             .collect()
     }
 
+    /// Repeats of operations that were answered well, with no trouble of any process since shortly before that: how
+    /// many were answered well too, and how many there were.
+    pub fn calm_repeats(&self) -> (usize, usize) {
+        let (mut answered, mut all) = (0, 0);
+        for (operation, tries) in &self.tries {
+            let Some(first) = self.successes(operation).next() else { continue };
+            let waited = |sent: &&&OperationTry| matches!(sent.ending, Ending::Answered { .. });
+            let repeats = tries.iter().filter(|sent| sent.at > first.ended).filter(waited);
+            let calm = repeats.filter(|sent| self.calm(first.at - CONTACT, sent.ended));
+            for repeat in calm {
+                all += 1;
+                answered += usize::from(is_success(repeat));
+            }
+        }
+        (answered, all)
+    }
+
+    fn calm(&self, from: Seconds, until: Seconds) -> bool {
+        let mut of_processes = self.seen.troubles.iter().filter(|trouble| trouble.process.is_some());
+        !of_processes.any(|trouble| trouble.from <= until && trouble.until >= from)
+    }
+
+    /// All operations with their tries and runs, a line each.
+    pub fn stories(&self) -> String {
+        self.tries.keys().map(|operation| self.story(operation) + "\n").collect()
+    }
+
     /// An operation's tries and runs, for the report.
     fn story(&self, operation: &str) -> String {
         let tries = self.tries.get(operation).into_iter().flatten().map(|sent| {
@@ -153,6 +180,7 @@
             *endings.entry(ending).or_default() += 1;
         }
         let (operations, runs) = (self.tries.len(), self.seen.operation_runs.len());
-        format!("operations={operations} operation_runs={runs} tries={endings:?}")
+        let (answered, repeats) = self.calm_repeats();
+        format!("operations={operations} operation_runs={runs} tries={endings:?} calm_repeats={answered}/{repeats}")
     }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -160,6 +160,8 @@
     look_at_the_end(&record, &cluster);
     sampler.end();
     std::fs::write(plan.folder.join("timeline"), timeline(&record, plan.size)).wrap_err("timeline")?;
+    let stories = Operations::new(&record.seen()).stories();
+    std::fs::write(plan.folder.join("operations"), stories).wrap_err("operations")?;
     Ok(judge(&record, &cluster, plan.scope))
 }
 
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -5,6 +5,7 @@
 use lupinledge_soak::configuration::{
     moving_to, rotating_key, FREE, HOMED, LIMITED, MOVING, PAY, READ, UNKNOWN_KEY,
 };
+use lupinledge_soak::operation_checks::Operations;
 use lupinledge_soak::record::{
     Arrival, Ending, Evacuation, OperationProbe, OperationRun, OperationTry, Process, Seen, Sent, Trouble,
     Version,
@@ -197,6 +198,16 @@
     assert!(found.len() == 2 && told("MIXED") == 1 && told("TWICE") == 1, "{found:?}");
 }
 
+/// Repeats count as calm unless a trouble of a process came between.
+#[test]
+fn repeats_in_calm() {
+    let mut seen = sound();
+    operation(&mut seen, "served", 28.0, answered(502));
+    assert_eq!(Operations::new(&seen).calm_repeats(), (1, 2));
+    seen.troubles.push(trouble(Process::Edge(2), 27.0, 27.5, true));
+    assert_eq!(Operations::new(&seen).calm_repeats(), (1, 1));
+}
+
 /// A run after the key's window is a new operation's; a refusal and a repeat elsewhere are no fault.
 #[test]
 fn what_keyed_requests_may_meet() {
