--- a/soak/src/operation_checks.rs
+++ b/soak/src/operation_checks.rs
@@ -113,7 +113,7 @@
             Some(first) => successes.next().is_some_and(|second| alike(first, second)),
             None => false,
         };
-        let Some(edge) = (!repeated).then_some(probe.edge) else { return None };
+        let edge = (!repeated).then_some(probe.edge)?;
         Some(format!("RECOVER: edge {edge} serves no operation that is repeated alike: {}", self.story(last)))
     }
 
