Operations: claims wait longer each time, and go by the latest electorate

Change: only a late vote lengthens the wait; electorates are ordered by an age that only grows as voters take over from each other.

--- a/operations/src/claims.rs
+++ b/operations/src/claims.rs
@@ -61,7 +61,7 @@
     /// Who answered otherwise than by granting it.
     refused: Vec<Node>,
     next_ask: f64,
-    /// How often voters were asked.
+    /// How often votes were late.
     rounds: i32,
 }
 
@@ -91,7 +91,7 @@
     start: u32,
     sequence: u64,
     now: f64,
-    /// The one heard of last at the end.
+    /// The latest at the end.
     electorates: Vec<(ElectorateId, Electorate)>,
     /// Smoothed seconds from a claim to its vote.
     vote_times: HashMap<Node, f64>,
@@ -191,6 +191,7 @@
                 pending.asked.clear();
                 pending.refused.clear();
             }
+            pending.rounds += 1;
             self.ask(claim, &mut pending, all, out);
             self.pending.insert(claim, pending);
         }
@@ -238,7 +239,6 @@
             out.push(Out::Send(node, Message::Claim { key, claim, fingerprint, keep, electorate }));
         }
         pending.next_ask = self.now + patience.min(PATIENCE_MOST) * f64::powi(2.0, pending.rounds);
-        pending.rounds += 1;
     }
 
     /// Those that granted it under another electorate are asked again, as their votes don't count with this one.
@@ -267,11 +267,12 @@
         })
     }
 
-    /// Votes are given under this electorate now.
+    /// Votes are given under this electorate.
     fn remember(&mut self, electorate: Electorate) {
         let id = electorate.id();
         self.electorates.retain(|known| known.0 != id);
-        self.electorates.push((id, electorate));
+        let at = self.electorates.partition_point(|known| known.1.age() <= electorate.age());
+        self.electorates.insert(at, (id, electorate));
         if self.electorates.len() > ELECTORATES_MOST {
             self.electorates.remove(0);
         }
--- a/operations/src/electorate.rs
+++ b/operations/src/electorate.rs
@@ -53,6 +53,12 @@
         ElectorateId(hash)
     }
 
+    /// Grows with each change: what a voter takes over makes its electorate later, never earlier.
+    pub fn age(&self) -> (u64, u64) {
+        let incarnations = self.incarnations.iter().map(|(_, incarnation)| incarnation.number);
+        (self.index, incarnations.sum())
+    }
+
     /// Does that node count?
     pub fn has(&self, node: Node) -> bool {
         self.members.contains(&node) || self.outgoing.contains(&node)
