Operations: a withdrawn claim is told as one, crowded gateways refuse at once, and copies of answers take a share of the link

Change: a gateway says of a claim of its own start that it doesn't know any more that it was withdrawn (503, not run); with 16 claims waiting and half a second to a grant none is begun; claims wait 1 s at the most; copies take 0.03 of the link. An answer that finds no room stays known as one. Ruled out: 503 where a gateway does not answer (its run may have begun: 502 stays, as the tests ask).

--- a/forager/src/operations.rs
+++ b/forager/src/operations.rs
@@ -1,6 +1,7 @@
 //! Operations that run once per key, as this gateway drives them: its claims at the voters, what it remembers of its own
 //! operations, and what other gateways ask about them. The decisions are in `lupinledge-operations`.
 
+mod allowance;
 mod answer;
 mod asks;
 mod claim;
@@ -12,6 +13,7 @@
 pub use perform::{Ended, Request};
 
 use crate::failures::Lines;
+use allowance::Allowance;
 use asks::Asks;
 use claim::Claim;
 use figures::Figures;
@@ -20,7 +22,7 @@
 use lupinledge_messaging::{Node, Word};
 use lupinledge_operations::claims::{Claims, Out};
 use lupinledge_operations::memory::Memory;
-use lupinledge_operations::message::Message;
+use lupinledge_operations::message::{Message, Progress};
 use lupinledge_operations::record::ClaimId;
 use lupinledge_propolis::Settings;
 use std::cell::{Cell, RefCell};
@@ -33,6 +35,8 @@
 
 /// Bytes of answers that are remembered, of the process's memory.
 const ANSWERS: f64 = 0.1;
+/// Share of the machine's link for copies of answers that voters keep.
+const COPY_SHARE: f64 = 0.03;
 /// Operations that are remembered: one gateway's part of a large deployment, with much room.
 const OPERATIONS_MOST: usize = 1 << 16;
 /// Claims are looked at no sooner and no later than this, seconds.
@@ -42,6 +46,10 @@
 /// All operations of this process.
 pub struct Operations {
     gossip: Rc<Gossip>,
+    /// Tells this start of the process from others.
+    start: u32,
+    /// For copies of answers.
+    copies: RefCell<Allowance>,
     place: Place,
     claims: RefCell<Claims>,
     memory: RefCell<Memory>,
@@ -64,10 +72,13 @@
     pub fn start(gossip: Rc<Gossip>, settings: &Settings, start: u32) -> Rc<Operations> {
         let (zone, region) = (settings.zone.clone(), settings.region.clone());
         let place = Place { node: gossip.me(), zone, region };
+        let link_bytes = settings.limits.link_mbps * 1e6 / 8.0;
         let answer_bytes = (settings.limits.memory_mb * 1e6 * ANSWERS) as usize;
         let operations = Rc::new(Operations {
             claims: RefCell::new(Claims::new(gossip.now(), gossip.me(), start)),
             gossip,
+            start,
+            copies: RefCell::new(Allowance::new(link_bytes * COPY_SHARE)),
             place,
             memory: RefCell::new(Memory::new(OPERATIONS_MOST, answer_bytes)),
             pending: RefCell::default(),
@@ -90,7 +101,10 @@
                 self.with_claims(|claims, now, out| claims.heard(now, from, message, out))
             }
             Message::Ask { key, claim, tag } => {
-                let progress = self.memory.borrow_mut().progress(self.gossip.now(), key, claim);
+                let progress = match claim.start == self.start {
+                    true => self.memory.borrow_mut().progress(self.gossip.now(), key, claim),
+                    false => Progress::NotKnown,
+                };
                 self.send(from, Message::Told { tag, progress });
             }
             Message::Told { tag, progress } => self.asks.told(from, tag, progress),
--- a/forager/src/operations/perform.rs
+++ b/forager/src/operations/perform.rs
@@ -20,7 +20,7 @@
 
 /// A claim may take this part of a request's time, and so many seconds at most.
 const CLAIM_PART: f64 = 0.6;
-const CLAIM_MOST: f64 = 1.5;
+const CLAIM_MOST: f64 = 1.0;
 /// Others are given so long to say how far an operation is.
 const ASK_WAIT: Duration = Duration::from_millis(300);
 /// An operation that runs is asked for again after so long.
@@ -81,6 +81,22 @@
     ClaimAgain,
 }
 
+/// What others said of an operation.
+#[derive(Debug, PartialEq)]
+enum Found {
+    Said(Progress),
+    /// Not all that were asked answered in time, and none that did knew more.
+    Unheard,
+}
+
+impl Found {
+    /// Is it known how far the operation is?
+    fn tells(&self) -> bool {
+        let open = [Progress::NotKnown, Progress::Withdrawn];
+        matches!(self, Found::Said(progress) if !open.contains(progress))
+    }
+}
+
 /// Counts a request until it is over.
 struct Active<'a>(&'a Operations);
 
@@ -129,6 +145,7 @@
         match &operation.state {
             State::Running => Known::Running,
             State::Lost => Known::Ended(Ended::Lost),
+            State::Dropped => Known::Nothing,
             State::Answered(answer) => {
                 up(&self.figures.repeated);
                 Known::Ended(Ended::Repeated(answer.clone()))
@@ -235,20 +252,24 @@
             }
             let (by, progress) = self.look_up(request.key, &holders).await;
             match progress {
-                Progress::Answered(answer) => return Settled::Answered(answer.into_vec().into()),
-                Progress::Lost => return Settled::Lost("its gateway does not know"),
-                Progress::Running => {
+                Found::Said(Progress::Answered(answer)) => {
+                    return Settled::Answered(answer.into_vec().into())
+                }
+                Found::Said(Progress::Lost) => return Settled::Lost("its gateway does not know"),
+                Found::Said(Progress::Running) => {
                     at_work.set(true);
                     self.yield_to(by, claim);
                     sleep(RUNNING_PAUSE).await;
                 }
-                Progress::NotKnown if !claim.is_withdrawn() => {
+                _ if !claim.is_withdrawn() => {
                     at_work.set(false);
                     sleep(UNKNOWN_PAUSE).await;
                 }
-                // it was withdrawn, or its gateway has ended: the voters tell which
-                Progress::NotKnown if at_work.get() => return Settled::ClaimAgain,
-                Progress::NotKnown => return Settled::Lost("nobody knows"),
+                // that claim ended without a run, or its gateway did: the voters tell which
+                _ if at_work.get() => return Settled::ClaimAgain,
+                Found::Said(Progress::Withdrawn) => return Settled::Unavailable,
+                Found::Said(_) => return Settled::Lost("nobody knows"),
+                Found::Unheard => return Settled::Lost("nobody answers"),
             }
         }
     }
@@ -262,43 +283,47 @@
     }
 
     /// How far the operation is of one of those claims, of which one at most has run.
-    async fn look_up(&self, key: Key, holders: &[Holder]) -> (ClaimId, Progress) {
-        let mut of = ClaimId::default();
+    async fn look_up(&self, key: Key, holders: &[Holder]) -> (ClaimId, Found) {
+        let mut last = (ClaimId::default(), Found::Unheard);
         for holder in holders {
-            of = holder.by;
-            let progress = self.look_up_one(key, holder).await;
-            if progress != Progress::NotKnown {
-                return (of, progress);
+            last = (holder.by, self.look_up_one(key, holder).await);
+            if last.1.tells() {
+                break;
             }
         }
-        (of, Progress::NotKnown)
+        last
     }
 
-    async fn look_up_one(&self, key: Key, holder: &Holder) -> Progress {
+    async fn look_up_one(&self, key: Key, holder: &Holder) -> Found {
         let gateway = Some(holder.by.gateway).filter(|node| self.may_answer(*node));
         let first = holder.answered_at.or(gateway);
+        let mut found = Found::Said(Progress::NotKnown);
         if let Some(first) = first {
-            let progress = self.ask(vec![first], key, holder.by).await;
-            if progress != Progress::NotKnown {
-                return progress;
+            found = self.ask(vec![first], key, holder.by).await;
+            if found.tells() || found == Found::Said(Progress::Withdrawn) {
+                return found;
             }
         }
         let mut others = self.voters();
         others.extend(gateway);
         others.retain(|node| Some(*node) != first);
-        self.ask(others, key, holder.by).await
+        match self.ask(others, key, holder.by).await {
+            // the gateway may still know what no voter does
+            Found::Said(Progress::NotKnown) if found == Found::Unheard => Found::Unheard,
+            others => others,
+        }
     }
 
-    async fn ask(&self, nodes: Vec<Node>, key: Key, claim: ClaimId) -> Progress {
+    async fn ask(&self, nodes: Vec<Node>, key: Key, claim: ClaimId) -> Found {
         let nodes: Vec<Node> = nodes.into_iter().filter(|node| *node != self.gossip.me()).collect();
         if nodes.is_empty() {
-            return Progress::NotKnown;
+            return Found::Said(Progress::NotKnown);
         }
         let mut ask = self.asks.open(&nodes);
         for node in nodes {
             self.send(node, Message::Ask { key, claim, tag: ask.tag });
         }
-        timeout(ASK_WAIT, ask.answer()).await.unwrap_or(Progress::NotKnown)
+        timeout(ASK_WAIT, ask.answer()).await.map_or(Found::Unheard, Found::Said)
     }
 
     /// The claim is granted: the request is sent, and what comes of it is kept.
@@ -340,7 +365,8 @@
     fn keep(&self, request: &Request, claim: ClaimId, answer: Rc<[u8]>) {
         self.memory.borrow_mut().answer(request.key, claim, answer.clone());
         let granted = self.claims.borrow_mut().finish(claim);
-        if answer.len() > STORED_MOST {
+        let room = || self.copies.borrow_mut().take(self.gossip.now(), answer.len());
+        if answer.len() > STORED_MOST || !room() {
             return;
         }
         let may_keep = |node: &Node| self.zone_of(*node).is_some_and(|zone| (request.may_be_kept_in)(&zone));
--- a/forager/tests/rules/keyed.rs
+++ b/forager/tests/rules/keyed.rs
@@ -339,3 +339,18 @@
     assert_eq!(f.ask(&homed(within(1500, "k-1").1)).status(), 502);
     assert_eq!(s.got().len(), 2);
 }
+
+/// A claim that was given up without a run is told as such: a repeat that meets it is sent away, not told that the
+/// outcome is unknown.
+#[test]
+fn a_withdrawn_claim_is_no_unknown_outcome() {
+    let s = srv("i-1", GOOD);
+    let f = start(&s);
+    let beside = f.beside();
+    f.alone_among(3);
+    let answer = beside.ask(&within(700, "k-1").1);
+    assert_eq!(answer.status(), 503);
+    let answer = f.ask(&within(700, "k-1").1);
+    assert_eq!((answer.status(), f.metric("operations.lost")), (503, Some(0)));
+    assert!(s.got().is_empty());
+}
--- a/operations/src/claims.rs
+++ b/operations/src/claims.rs
@@ -10,6 +10,10 @@
 const ELECTORATES_MOST: usize = 4;
 /// Claims that may wait for votes at once.
 const PENDING_MOST: usize = 4096;
+/// With so many claims waiting, and this long from a claim to its grant, seconds, no further ones are begun: what they
+/// wait for is behind what waits already.
+const CROWD: usize = 16;
+const SLOW_GRANT: f64 = 0.5;
 /// How long a vote usually takes is followed by this share of each new one.
 const SMOOTHING: f64 = 0.2;
 /// A vote is awaited for so many times its usual time before others are asked too, within these bounds, seconds. Each
@@ -53,6 +57,7 @@
 
 struct Pending {
     request: Request,
+    began: f64,
     /// Voters by nearness, those that seem to be there first.
     voters: Vec<Node>,
     /// Who was asked, and when last.
@@ -95,6 +100,8 @@
     electorates: Vec<(ElectorateId, Electorate)>,
     /// Smoothed seconds from a claim to its vote.
     vote_times: HashMap<Node, f64>,
+    /// Smoothed seconds from a claim to its grant.
+    grant_time: f64,
     pending: BTreeMap<ClaimId, Pending>,
     /// Granted claims that are not over.
     running: BTreeMap<ClaimId, Running>,
@@ -104,7 +111,8 @@
     /// Another start of the gateway has another number.
     pub fn new(now: f64, me: Node, start: u32) -> Claims {
         let (vote_times, pending, running) = (HashMap::new(), BTreeMap::new(), BTreeMap::new());
-        Claims { me, start, sequence: 0, now, electorates: Vec::new(), vote_times, pending, running }
+        let (sequence, electorates, grant_time) = (0, Vec::new(), 0.0);
+        Claims { me, start, sequence, now, electorates, vote_times, grant_time, pending, running }
     }
 
     /// Claims a key. `voters`: the machines of the core, the nearest first and those that seem to be gone last.
@@ -117,13 +125,15 @@
         out: &mut Vec<Out>,
     ) -> Option<ClaimId> {
         self.enter(now);
-        if self.pending.len() >= PENDING_MOST {
+        let crowded = self.pending.len() >= CROWD && self.grant_time > SLOW_GRANT;
+        if crowded || self.pending.len() >= PENDING_MOST {
             return None;
         }
         self.sequence += 1;
         let claim = ClaimId { gateway: self.me, start: self.start, sequence: self.sequence };
         let mut pending = Pending {
             request,
+            began: self.now,
             voters: voters.to_vec(),
             asked: BTreeMap::new(),
             granted: BTreeMap::new(),
@@ -152,6 +162,7 @@
             Verdict::Granted => {
                 pending.granted.insert(from, electorate);
                 if self.carried(&pending.granted) {
+                    self.grant_time += SMOOTHING * (self.now - pending.began - self.grant_time);
                     self.running.insert(claim, pending.carried());
                     return out.push(Out::Granted(claim));
                 }
--- a/operations/src/memory.rs
+++ b/operations/src/memory.rs
@@ -15,6 +15,8 @@
     Answered(Rc<[u8]>),
     /// It may have run, and its answer will not be known.
     Lost,
+    /// It has an answer, for which there was no room any more.
+    Dropped,
 }
 
 /// One operation.
@@ -74,9 +76,14 @@
         }
         while self.bytes > self.bytes_most {
             let Some((key, claim)) = self.answered.pop_front() else { break };
-            if self.operations.get(&key).is_some_and(|operation| operation.claim == claim) {
-                self.forget(key);
-            }
+            self.drop_answer(key, claim);
+        }
+    }
+
+    fn drop_answer(&mut self, key: Key, claim: ClaimId) {
+        let Some(operation) = self.operations.get_mut(&key).filter(|o| o.claim == claim) else { return };
+        if let State::Answered(answer) = std::mem::replace(&mut operation.state, State::Dropped) {
+            self.bytes -= answer.len();
         }
     }
 
@@ -94,10 +101,11 @@
         }
     }
 
-    /// What another gateway is told that asks for the operation that this claim runs.
+    /// What another gateway is told that asks for the operation that this claim runs, one of this start of the gateway.
     pub fn progress(&mut self, now: f64, key: Key, claim: ClaimId) -> Progress {
         match self.find(now, key).filter(|operation| operation.claim == claim).map(|o| &o.state) {
-            None => Progress::NotKnown,
+            None => Progress::Withdrawn,
+            Some(State::Dropped) => Progress::NotKnown,
             Some(State::Running) => Progress::Running,
             Some(State::Answered(answer)) => Progress::Answered(ByteBuf::from(answer.to_vec())),
             Some(State::Lost) => Progress::Lost,
--- a/operations/src/message.rs
+++ b/operations/src/message.rs
@@ -86,6 +86,9 @@
     /// Nothing is known of it here.
     #[serde(rename = "n")]
     NotKnown,
+    /// Its gateway withdrew the claim: it has not run under it.
+    #[serde(rename = "w")]
+    Withdrawn,
     /// It is at work.
     #[serde(rename = "r")]
     Running,
