Operations: the parts of one telling count together, and no others

Cause, found in review: a learner put the parts of a voter's records together by their number alone. Part 0 of one telling and part 1 of the next, with records moved between them since, made a whole that lacked keys: a claim carried with them could have been granted to another one (TWICE). Change: each telling has a number. Ruled out: links alone, which keep order but not over a reset connection.

--- a/operations/src/message.rs
+++ b/operations/src/message.rs
@@ -43,11 +43,13 @@
     /// Voter to voter: my disk is empty, or I was no member for a while; what do you hold?
     #[serde(rename = "l")]
     Learn { incarnation: Incarnation, electorate: Electorate },
-    /// One part of what is held, from number 0; complete when all `parts` are there.
+    /// One part of what is held, from number 0; complete when all `parts` of one telling are there.
     #[serde(rename = "h")]
     Learnt {
         incarnation: Incarnation,
         electorate: Electorate,
+        /// Another one for each time that the sender tells what it holds.
+        telling: u64,
         part: u16,
         parts: u16,
         /// With each record the seconds that are left to it.
--- a/operations/src/voter.rs
+++ b/operations/src/voter.rs
@@ -70,6 +70,7 @@
 #[derive(Default)]
 struct Lesson {
     electorate: Electorate,
+    telling: u64,
     parts: BTreeMap<u16, Vec<Record>>,
     whole: bool,
 }
@@ -279,8 +280,8 @@
                 out.push(Out::Send(from, Message::Told { tag, progress }));
             }
             Message::Learn { incarnation, electorate } => self.teach(from, incarnation, &electorate, out),
-            Message::Learnt { incarnation, electorate, part, parts, records } => {
-                self.learn(from, incarnation, electorate, (part, parts), records, out)
+            Message::Learnt { incarnation, electorate, telling, part, parts, records } => {
+                self.learn(from, incarnation, (electorate, telling), (part, parts), records, out)
             }
             Message::Ended { number } => {
                 if matches!(&self.role, Role::Learning(learner) if learner.incarnation.number <= number) {
@@ -368,11 +369,12 @@
         self.waiting
             .values_mut()
             .for_each(|waiting| waiting.retain(|(to, later)| *to != from || later.is_vote()));
+        let telling = self.dice();
         for part in 0..parts {
             let rest = records.split_off(records.len().min(RECORDS_IN_PART));
             let records = std::mem::replace(&mut records, rest);
             let electorate = self.electorate.clone();
-            let lesson = Message::Learnt { incarnation, electorate, part, parts, records };
+            let lesson = Message::Learnt { incarnation, electorate, telling, part, parts, records };
             self.send_after(self.appended, from, Later::Message(lesson), out);
         }
     }
@@ -381,7 +383,7 @@
         &mut self,
         from: Node,
         incarnation: Incarnation,
-        electorate: Electorate,
+        (electorate, telling): (Electorate, u64),
         (part, parts): (u16, u16),
         records: Vec<Record>,
         out: &mut Vec<Out>,
@@ -391,8 +393,8 @@
             return;
         }
         let lesson = learner.lessons.entry(from).or_default();
-        if lesson.electorate != electorate || part == 0 {
-            *lesson = Lesson { electorate: electorate.clone(), ..Lesson::default() };
+        if lesson.electorate != electorate || lesson.telling != telling {
+            *lesson = Lesson { electorate: electorate.clone(), telling, ..Lesson::default() };
         }
         lesson.parts.insert(part, records);
         lesson.whole = lesson.parts.len() == usize::from(parts);
--- a/operations/tests/model/world.rs
+++ b/operations/tests/model/world.rs
@@ -337,8 +337,8 @@
     /// What a planted fault makes of a message.
     fn spoilt(&mut self, message: Message) -> Message {
         match (self.plan.flaw, message) {
-            (Flaw::EmptyLessons, Message::Learnt { incarnation, electorate, part, parts, .. }) => {
-                Message::Learnt { incarnation, electorate, part, parts, records: Vec::new() }
+            (Flaw::EmptyLessons, Message::Learnt { incarnation, electorate, telling, part, parts, .. }) => {
+                Message::Learnt { incarnation, electorate, telling, part, parts, records: Vec::new() }
             }
             (Flaw::MixedElectorates, Message::Vote { claim, verdict, .. }) => {
                 let all = self.steps.last().cloned().unwrap_or_default();
--- a/operations/tests/voter_head.rs
+++ b/operations/tests/voter_head.rs
@@ -48,7 +48,8 @@
     electorate.note(1, incarnation);
     for node in [2, 3] {
         let electorate = electorate.clone();
-        let lesson = Message::Learnt { incarnation, electorate, part: 0, parts: 1, records: Vec::new() };
+        let lesson =
+            Message::Learnt { incarnation, electorate, telling: 1, part: 0, parts: 1, records: Vec::new() };
         voter.heard(1.0, node, lesson, &mut out);
     }
     assert_eq!(voter.head(), None, "it would replace the entry that says that it is ready");
