--- a/soak/src/cluster.rs
+++ b/soak/src/cluster.rs
@@ -41,6 +41,11 @@
         (0..self.cores).map(Process::Core)
     }
 
+    /// Members of the core whose disks may be lost at once.
+    pub fn disks_to_lose(self) -> usize {
+        (self.cores - 1) / 2
+    }
+
     /// Whether there are addresses for all processes, and a core that can lose a member.
     pub fn check(self) -> eyre::Result<()> {
         eyre::ensure!((3..=9).contains(&self.cores), "--cores: {} is not within 3 to 9", self.cores);
@@ -284,7 +289,7 @@
             "zones": ZONES.into_iter().collect::<BTreeMap<_, _>>(),
             "listen": listen, "port_range": [self.ports.peers, self.ports.peers], "seeds": seeds,
             "bootstrap": bootstrap, "counted": matches!(process, Process::Core(_)),
-            "tolerate": {"machines": 1, "zones": 1, "regions": 1}, "bounds": bounds_of_settings(),
+            "tolerate": {"machines": self.size.disks_to_lose(), "zones": 1, "regions": 1}, "bounds": bounds_of_settings(),
             "cloud_api": {"address": self.platform, "rate_per_s": 39.0},
         });
         if matches!(process, Process::Core(_)) {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -1,7 +1,7 @@
 //! The fault injector: troubles of all kinds at random, several at a time, with calm spells between.
 
 use crate::checks::Scope;
-use crate::cluster::{Cluster, Signal};
+use crate::cluster::{Cluster, Signal, Size};
 use crate::configuration::bounds;
 use crate::platform::Platform;
 use crate::record::{Process, Record};
@@ -138,6 +138,14 @@
     all
 }
 
+/// Members of the core by lot, no more than may lose their disks at once.
+fn some_cores(size: Size, rng: &mut fastrand::Rng) -> Vec<Process> {
+    let mut all: Vec<Process> = size.core().collect();
+    rng.shuffle(&mut all);
+    all.truncate(rng.usize(1..=size.disks_to_lose()));
+    all
+}
+
 impl Injector {
     /// With no trouble yet.
     pub fn new(
@@ -222,7 +230,7 @@
             Kind::RestartCore => self.restart(core, down),
             Kind::ReloadEdge => self.reload(edge, rng.bool()),
             Kind::ReloadCore => self.reload(core, rng.bool()),
-            Kind::WipeCore => self.wipe(core, down),
+            Kind::WipeCore => self.wipe(&some_cores(size, rng), down),
             Kind::ReplaceCore => self.replace(rng.usize(0..size.cores), true, down),
             Kind::LoseCore => self.replace(rng.usize(0..size.cores), false, down),
             Kind::FreezeAny => {
@@ -338,7 +346,7 @@
     }
 
     /// The whole core, if all of it is sound, in no other trouble's hands, and was so for the time that one that was
-    /// away or is new has to catch up: no more than one disk is to be lost at once.
+    /// away or is new has to catch up: no more disks are to be lost at once than may be.
     fn claim_sound_core(&self) -> Option<Vec<Claim<'_>>> {
         let cores = self.cluster.size().cores;
         let claims: Vec<Claim> = self.cluster.size().core().filter_map(|p| self.claim(p)).collect();
@@ -382,22 +390,29 @@
         drop(claims);
     }
 
-    /// A member of the core loses its disk.
-    fn wipe(&self, core: Process, down: Duration) {
+    /// Members of the core lose their disks at once.
+    fn wipe(&self, cores: &[Process], down: Duration) {
         let Some(claims) = self.claim_sound_core() else { return };
-        let note = self.note("wipe", core, false);
-        self.cluster.kill(core);
-        if let Err(e) = self.cluster.wipe(core) {
-            self.record.violation(format!("harness: {e:#}"));
-        }
+        let notes: Vec<usize> = cores.iter().map(|core| self.note("wipe", *core, false)).collect();
+        cores.iter().for_each(|core| self.cluster.signal(*core, Signal::Kill));
+        cores.iter().for_each(|core| self.cluster.kill(*core));
+        self.remove_disks(cores);
         // the others may be in other troubles from here on, but keep their disks
-        let claims: Vec<Claim> = claims.into_iter().filter(|c| c.1 == core).collect();
+        let claims: Vec<Claim> = claims.into_iter().filter(|c| cores.contains(&c.1)).collect();
         sleep(down);
-        self.start(core);
-        self.record.over(note);
+        cores.iter().for_each(|core| self.start(*core));
+        notes.into_iter().for_each(|note| self.record.over(note));
         drop(claims);
     }
 
+    fn remove_disks(&self, cores: &[Process]) {
+        for core in cores {
+            if let Err(e) = self.cluster.wipe(*core) {
+                self.record.violation(format!("harness: {e:#}"));
+            }
+        }
+    }
+
     /// Cuts a process off from these others for a while.
     fn cut(&self, process: Process, others: Vec<Process>, span: Duration) {
         let pairs: Vec<(Process, Process)> =
@@ -426,22 +441,20 @@
         }
     }
 
-    /// What strikes at the end: processes of the core, or all, are killed at once, and a disk may be lost with it.
+    /// What strikes at the end: processes of the core, or all, are killed at once, and disks may be lost with it.
     pub fn closing(&self, rng: &mut fastrand::Rng) {
         let all = rng.bool();
         let victims: Vec<Process> = match all {
             true => self.cluster.size().processes().collect(),
             false => self.cluster.size().core().collect(),
         };
-        let wiped = rng.bool().then(|| Process::Core(rng.usize(0..self.cluster.size().cores)));
-        // a disk may be lost only where the one before was made up for
-        let wiped = wiped.filter(|_| self.claim_sound_core().is_some());
+        let wiped = rng.bool().then(|| some_cores(self.cluster.size(), rng));
+        // disks may be lost only where those before were made up for
+        let wiped = wiped.filter(|_| self.claim_sound_core().is_some()).unwrap_or_default();
         let notes: Vec<usize> = victims.iter().map(|v| self.note("closing fault", *v, false)).collect();
         victims.iter().for_each(|v| self.cluster.signal(*v, Signal::Kill));
         victims.iter().for_each(|v| self.cluster.kill(*v));
-        if let Some(Err(e)) = wiped.map(|core| self.cluster.wipe(core)) {
-            self.record.violation(format!("harness: {e:#}"));
-        }
+        self.remove_disks(&wiped);
         sleep(Duration::from_millis(rng.u64(100..1500)));
         victims.iter().for_each(|v| self.start(*v));
         notes.into_iter().for_each(|note| self.record.over(note));
--- a/soak/src/keyed_client.rs
+++ b/soak/src/keyed_client.rs
@@ -233,20 +233,26 @@
 
 /// After all troubles: has each edge process serve a fresh operation, and another one repeat it, until `until`.
 pub fn probe(record: &Record, cluster: &Cluster, behaviour: Behaviour, until: Seconds) {
-    for edge in 0..cluster.size().edges {
-        let mut operations = Vec::new();
-        while record.now() < until {
-            let mut operation = fresh_probe(behaviour, edge, operations.len());
-            operations.push(operation.name.clone());
-            let repeated_at = (edge + 1) % cluster.size().edges;
-            let served = tried_until(record, cluster, &mut operation, edge, record.now());
-            if served && tried_until(record, cluster, &mut operation, repeated_at, until) {
-                break;
-            }
-            sleep(PROBE_PAUSE);
+    std::thread::scope(|scope| {
+        for edge in 0..cluster.size().edges {
+            scope.spawn(move || probe_edge(record, cluster, behaviour, edge, until));
+        }
+    });
+}
+
+fn probe_edge(record: &Record, cluster: &Cluster, behaviour: Behaviour, edge: usize, until: Seconds) {
+    let repeated_at = (edge + 1) % cluster.size().edges;
+    let mut operations = Vec::new();
+    while record.now() < until {
+        let mut operation = fresh_probe(behaviour, edge, operations.len());
+        operations.push(operation.name.clone());
+        let served = tried_until(record, cluster, &mut operation, edge, record.now());
+        if served && tried_until(record, cluster, &mut operation, repeated_at, until) {
+            break;
         }
-        record.seen().operation_probes.push(OperationProbe { edge, operations });
+        sleep(PROBE_PAUSE);
     }
+    record.seen().operation_probes.push(OperationProbe { edge, operations });
 }
 
 /// An operation whose first try each server answers well.
