--- a/forager/src/terms/tests.rs
+++ b/forager/src/terms/tests.rs
@@ -120,7 +120,8 @@
     /// Plays until then; each request sent is answered after so long.
     fn play(&mut self, until: u64, answered_after: u64) -> Outcomes {
         let mut outcomes = Outcomes::default();
-        while let Some((now, events)) = self.due.pop_first().filter(|(now, _)| *now < until) {
+        while self.due.first_key_value().is_some_and(|(now, _)| *now < until) {
+            let Some((now, events)) = self.due.pop_first() else { break };
             let mut actions = Vec::new();
             self.control.round(Point::from_secs(now as f64 / 1e3), events, &mut actions);
             for action in actions {
