Known red: servers that join get no requests beside quick ones

Cause: the choice of a server goes by its pace, so an idle quick server is always before a new one; a gateway sends few requests at a time. The check and its bound (a quarter of the even part) are as written.

--- a/forager/src/terms/tests.rs
+++ b/forager/src/terms/tests.rs
@@ -79,6 +79,8 @@
 struct Outcomes {
     sent: usize,
     denied: usize,
+    /// By server.
+    sent_to: BTreeMap<u32, usize>,
 }
 
 impl Pool {
@@ -117,8 +119,8 @@
         }
     }
 
-    /// Plays until then; each request sent is answered after so long.
-    fn play(&mut self, until: u64, answered_after: u64) -> Outcomes {
+    /// Plays until then; each request sent is answered after so long, by the server.
+    fn play(&mut self, until: u64, answered_after: impl Fn(u32) -> u64) -> Outcomes {
         let mut outcomes = Outcomes::default();
         while self.due.first_key_value().is_some_and(|(now, _)| *now < until) {
             let Some((now, events)) = self.due.pop_first() else { break };
@@ -126,8 +128,10 @@
             self.control.round(Point::from_secs(now as f64 / 1e3), events, &mut actions);
             for action in actions {
                 match action {
-                    Action::Dispatch { id, .. } => {
+                    Action::Dispatch { id, srv, .. } => {
                         outcomes.sent += 1;
+                        *outcomes.sent_to.entry(srv).or_default() += 1;
+                        let answered_after = answered_after(srv);
                         let (took, how) = (Span::millis(answered_after as i64), Outcome::Passed);
                         let ended = Ended { id, nth: 0, how, took, closed: true, billed: 0.0 };
                         self.event(now + answered_after, Event::Ended(ended, Vec::new()));
@@ -152,6 +156,25 @@
     let mut pool = Pool::new();
     pool.servers(0, 1..=137);
     pool.requests(100, 40_000);
-    let Outcomes { sent, denied } = pool.play(40_000, 900);
+    let Outcomes { sent, denied, .. } = pool.play(40_000, |_| 900);
     assert!(denied * 50 < sent, "{denied} denied, {sent} sent");
 }
+
+/// Servers that join get requests beside others that are known to be quick: a gateway sends few requests at a time, and
+/// a quick one is nearly always idle.
+#[test]
+fn servers_that_join_get_requests_beside_quick_ones() {
+    const OLD: u32 = 44;
+    const ALL: u32 = 55;
+    let mut pool = Pool::new();
+    pool.servers(0, 1..=OLD);
+    pool.servers(15_000, 1..=ALL);
+    pool.requests(66, 30_000);
+    let speeds = [0.5, 1.0, 1.0, 1.5];
+    let answered_after = |srv: u32| 20 + (230.0 * speeds[srv as usize % speeds.len()]) as u64;
+    pool.play(15_000, answered_after);
+    let Outcomes { sent, sent_to, .. } = pool.play(30_000, answered_after);
+    let to_joiners: usize = sent_to.range(OLD + 1..=ALL).map(|(_, sent)| sent).sum();
+    // a quarter of their even part
+    assert!(to_joiners * 20 > sent, "{to_joiners} of {sent} requests went to a fifth of the servers");
+}
