Review, case 8: an upload runs twice when its server reads on late

Cause: the time-out for unacknowledged bytes also ends connections whose peer has closed its receive window for 1.5 s, and what was not written whole counts as not run. Change: a script with one of eight servers working four times as long for 5 s.

--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -20,6 +20,7 @@
         "5" => extra_answer(&mut system, trouble),
         "6" => slow_reader(&mut system, trouble),
         "7" => answer_in_parts(&mut system, trouble),
+        "8" => slow_server(&mut system, trouble),
         _ => Err(io::Error::other("no such case")),
     };
     match held {
@@ -296,3 +297,56 @@
     system.record.add(format!("its client got {status}; its server ended the answer: {ended}"));
     Ok(!trouble || status == 200)
 }
+
+/// TWICE: uploads while one server of eight works four times as long, for five seconds. A server works for 0.5 s before it
+/// reads on in the body.
+fn slow_server(system: &mut System, trouble: bool) -> io::Result<bool> {
+    calm(system)?;
+    let body = vec![b'u'; 8 << 20];
+    let slow = "i-redline-4";
+    if trouble {
+        system.record.add(format!("server {slow} works four times as long"));
+        crate::system::slow_down(system.server_pid(slow), true);
+    }
+    let began = Instant::now();
+    let shared: &System = system;
+    let served: usize = thread::scope(|scope| {
+        let clients = (0..9).map(|client| {
+            let body = &body;
+            scope.spawn(move || {
+                let mut served = 0;
+                for n in 0.. {
+                    if began.elapsed() > Duration::from_millis(4500) {
+                        break;
+                    }
+                    let attempt = format!("a-upload-{client}-{n}");
+                    let line = ("PUT", "/takedowns/clip?lead=500");
+                    served += usize::from(request(shared, shared.front(client % 3), line, &attempt, TENANT.1, body) == 200);
+                }
+                served
+            })
+        });
+        let clients: Vec<_> = clients.collect();
+        thread::sleep(Duration::from_millis(5000));
+        if trouble {
+            shared.record.add(format!("server {slow} works as before"));
+            crate::system::slow_down(shared.server_pid(slow), false);
+        }
+        clients.into_iter().map(|client| client.join().unwrap_or(0)).sum()
+    });
+    thread::sleep(Duration::from_millis(1000));
+    let mut twice = 0;
+    for (_, line) in system.record.with(&["client sends a-upload-"]) {
+        let attempt = line.trim_start_matches("client sends ").split(':').next().unwrap_or_default();
+        let runs = system.record.with(&["server begin", &format!(" {attempt} ")]).len();
+        if runs > 1 {
+            twice += 1;
+            system.record.add(format!("{attempt} was begun {runs} times"));
+        }
+    }
+    system.record.add(format!("{served} uploads served, {twice} begun more than once"));
+    if !trouble && served == 0 {
+        return Err(io::Error::other("no upload was served"));
+    }
+    Ok(twice == 0)
+}
--- a/review/stand-ins-2/src/server.rs
+++ b/review/stand-ins-2/src/server.rs
@@ -6,13 +6,14 @@
 //! body), `pause` (milliseconds between the first half of the answer and the second one), `close` (whether the
 //! connection is closed after the answer), and `extra` (milliseconds after which a second copy follows of the answer
 //! that turns the same attempt away for the second time because all slots are taken). A body is read as the work goes
-//! on, at `BODY_BYTES_PER_S`, as by a server that processes an upload while it comes.
+//! on, at `BODY_BYTES_PER_S`, as by a server that processes an upload while it comes; `lead` is the work in milliseconds
+//! before it reads on. SIGUSR1 makes a server work `SLOWNESS` times as long from then on, SIGUSR2 as before.
 
 use crate::http::{keep_pace, read_head, Head};
 use std::io::{self, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -21,6 +22,26 @@
 const BODY_BYTES_PER_S: f64 = 4e6;
 /// Requests that a server works on at once; it turns further ones away.
 const SLOTS: usize = 4;
+/// How much longer a server works that was made slow.
+const SLOWNESS: u64 = 4;
+const SIGUSR1: i32 = 10;
+const SIGUSR2: i32 = 12;
+/// How much longer this server works now.
+static FACTOR: AtomicU64 = AtomicU64::new(1);
+
+extern "C" {
+    fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
+}
+
+extern "C" fn set_pace(signal: i32) {
+    FACTOR.store(if signal == SIGUSR1 { SLOWNESS } else { 1 }, Ordering::SeqCst);
+}
+
+/// Works for a time; a slow server takes longer.
+fn work(ms: usize) {
+    thread::sleep(Duration::from_millis(ms as u64 * FACTOR.load(Ordering::SeqCst)));
+}
+
 /// How often each attempt was turned away.
 static TURNED_AWAY: Mutex<Vec<(String, usize)>> = Mutex::new(Vec::new());
 /// Requests at work.
@@ -47,6 +68,11 @@
     let [address, id] = args else { return ExitCode::from(2) };
     let Ok(listener) = TcpListener::bind(address) else { return ExitCode::from(2) };
     let id: Arc<str> = id.as_str().into();
+    // SAFETY: the handler only stores a number
+    unsafe {
+        signal(SIGUSR1, set_pace);
+        signal(SIGUSR2, set_pace);
+    }
     println!("up {id}");
     for stream in listener.incoming().flatten() {
         let id = id.clone();
@@ -124,8 +150,9 @@
     let tenant = head.get("lupinledge-tenant").unwrap_or("(none)");
     let key = head.get("lupinledge-operation-key").unwrap_or("-");
     println!("begin {id} {attempt} key={key} tenant={tenant}");
+    work(parameter(&head.first, "lead"));
     let read = read_body(stream, head, body_start.len(), Some(BODY_BYTES_PER_S))?;
-    thread::sleep(Duration::from_millis(parameter(&head.first, "work") as u64));
+    work(parameter(&head.first, "work"));
     let (length, pause) = (parameter(&head.first, "answer").max(2), parameter(&head.first, "pause"));
     let close = if parameter(&head.first, "close") > 0 { "Connection: close\r\n" } else { "" };
     write!(
--- a/review/stand-ins-2/src/system.rs
+++ b/review/stand-ins-2/src/system.rs
@@ -52,6 +52,14 @@
     }
 }
 
+/// Makes a server work longer, or as before.
+pub fn slow_down(pid: Option<u32>, slow: bool) {
+    if let Some(pid) = pid {
+        // SAFETY: the process is a child of this one that has not been waited for
+        unsafe { kill(pid as i32, if slow { 10 } else { 12 }) };
+    }
+}
+
 /// Kills the process of a server. The server stays on the platform's list, as one that has crashed does for some seconds.
 pub fn crash(pid: Option<u32>) {
     if let Some(pid) = pid {
