--- a/review/stand-ins-2/src/cases.rs
+++ b/review/stand-ins-2/src/cases.rs
@@ -11,16 +11,15 @@
 /// Plays a case; 0: the rule held, 1: it was broken, 2: the case could not run.
 pub fn play(number: &str, folder: &Path) -> u8 {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let mut system = match System::start(folder, number == "5") {
+    let mut system = match System::start(folder, number == "6") {
         Ok(system) => system,
         Err(error) => return could_not_run(&error),
     };
     let held = match number {
-        "4" => upload(&mut system, trouble),
-        "5" => extra_answer(&mut system, trouble),
-        "6" => slow_reader(&mut system, trouble),
-        "7" => answer_in_parts(&mut system, trouble),
-        "8" => slow_server(&mut system, trouble),
+        "5" => slow_server(&mut system, trouble),
+        "6" => extra_answer(&mut system, trouble),
+        "7" => slow_reader(&mut system, trouble),
+        "8" => answer_in_parts(&mut system, trouble),
         _ => Err(io::Error::other("no such case")),
     };
     match held {
@@ -107,40 +106,6 @@
     status
 }
 
-/// TWICE: a server that has begun to work on an upload crashes while its body is still on the way.
-fn upload(system: &mut System, trouble: bool) -> io::Result<bool> {
-    calm(system)?;
-    let front = system.front(0);
-    if request(system, front, ("PUT", "/takedowns/small"), "a-small", TENANT.1, b"takedown") != 200 {
-        return Err(io::Error::other("a small request was not served"));
-    }
-    let attempt = "a-upload";
-    let record = system.record.clone();
-    let body = vec![b'u'; 8 << 20];
-    let status = thread::scope(|scope| -> io::Result<u16> {
-        let shared: &System = system;
-        let client =
-            scope.spawn(move || request(shared, front, ("PUT", "/takedowns/clip"), attempt, TENANT.1, &body));
-        let begun = record.wait_for(&["server begin", attempt], 5.0);
-        let Some((_, begun)) = begun else { return Err(io::Error::other("the upload reached no server")) };
-        let id = begun.split(' ').nth(2).unwrap_or_default().to_string();
-        thread::sleep(Duration::from_millis(500));
-        if trouble {
-            let pid = shared.server_pid(&id);
-            record.add(format!("crash of server {id}"));
-            crate::system::crash(pid);
-        }
-        client.join().map_err(|_| io::Error::other("the client failed"))
-    })?;
-    thread::sleep(Duration::from_millis(1500));
-    let runs = system.record.with(&["server begin", attempt]).len();
-    system.record.add(format!("{attempt} ran {runs} times, its client got {status}"));
-    if !trouble && status != 200 {
-        return Err(io::Error::other("the upload was not served"));
-    }
-    Ok(runs <= 1)
-}
-
 /// LOST: a client reads a long answer at a steady pace while its gateway is told to end.
 fn slow_reader(system: &mut System, trouble: bool) -> io::Result<bool> {
     const ANSWER: usize = 4_190_000;
--- a/review/stand-ins-2/src/system.rs
+++ b/review/stand-ins-2/src/system.rs
@@ -60,14 +60,6 @@
     }
 }
 
-/// Kills the process of a server. The server stays on the platform's list, as one that has crashed does for some seconds.
-pub fn crash(pid: Option<u32>) {
-    if let Some(pid) = pid {
-        // SAFETY: the process is a child of this one that has not been waited for
-        unsafe { kill(pid as i32, 9) };
-    }
-}
-
 #[derive(Clone, Copy)]
 pub enum Signal {
     Terminate = 15,
