Leader: reads the lists of all zones at the same time where the whole list takes long (DRAIN)

Cause: the list of 810 servers has 17 pages, each a round trip; with the leader in another region than the platform one began each 2.1 s (by the count of calls), and nearly two of them pass between a server's change and the list that has it. Change: after a read of over 0.3 s the zones' lists are read at the same time, within the same rate; servers.read_ms and servers.read_pages tell how long it took. Rows and their checks, and the reading, are modules of their own.

--- a/control-plane/src/control_plane.rs
+++ b/control-plane/src/control_plane.rs
@@ -114,7 +114,9 @@
             load: 0,
         };
         let gossip = Gossip::open(&settings, card, false).wrap_err("`port_range`")?;
-        let servers = ServerListPoller::start(consensus.clone(), platform.address, platform.rate_per_s);
+        let zones: Vec<String> = settings.zones.keys().cloned().collect();
+        let platform = (platform.address, platform.rate_per_s);
+        let servers = ServerListPoller::start(consensus.clone(), platform, zones);
         let counters = CounterService::new(clock.clone(), consensus.clone(), settings.zones.clone());
 
         let port = settings.peer_port();
@@ -235,6 +237,9 @@
             line("servers.list_number", list.number.1);
             line("servers.listed", list.rows.len() as u64);
             line("servers.unreadable", self.servers.unreadable_rows.get());
+            let (read_time, pages) = self.servers.last_read.get();
+            line("servers.read_ms", read_time.as_millis() as u64);
+            line("servers.read_pages", pages as u64);
             self.operations.write_metrics(line);
             self.gossip.write_metrics(line);
         })
--- a/control-plane/src/platform.rs
+++ b/control-plane/src/platform.rs
@@ -30,6 +30,8 @@
     Unreadable,
     /// A page links to itself.
     Repeated,
+    /// A page of one zone has servers of another one.
+    OtherZone,
     /// There were more pages than the limit.
     Endless,
 }
@@ -45,7 +47,7 @@
 
 /// A client for the platform at one address.
 pub struct PlatformClient {
-    pub address: SocketAddr,
+    address: SocketAddr,
     connection: Option<SendRequest<Empty<Bytes>>>,
 }
 
@@ -61,12 +63,15 @@
         self.connection = timeout(CALL_TIMEOUT, self.connect()).await.ok().and_then(Result::ok);
     }
 
-    /// Requests the page with this token, or the first page.
-    pub async fn page(&mut self, token: Option<&str>) -> Result<Page, PlatformError> {
+    /// Requests the page with this token, or the first page; of the whole list, or of one zone.
+    pub async fn page(&mut self, zone: Option<&str>, token: Option<&str>) -> Result<Page, PlatformError> {
         let mut path = "/instances".to_string();
-        if let Some(token) = token {
-            path.push_str("?page_token=");
-            percent_encode(token, &mut path);
+        let parameters = [("zone", zone), ("page_token", token)];
+        for (name, value) in parameters.into_iter().filter_map(|(name, value)| Some((name, value?))) {
+            path.push(if path.contains('?') { '&' } else { '?' });
+            path.push_str(name);
+            path.push('=');
+            percent_encode(value, &mut path);
         }
         let reused = self.connection.is_some();
         match timeout(CALL_TIMEOUT, self.call(&path)).await.unwrap_or(Err(PlatformError::Slow)) {
--- a/control-plane/src/server_list.rs
+++ b/control-plane/src/server_list.rs
@@ -1,10 +1,13 @@
 //! The list of servers, which only the leader reads from the platform.
 
+mod reader;
+mod row;
+
 use crate::consensus_driver::ConsensusDriver;
-use crate::platform::{PlatformClient, PlatformError};
 use lupinledge_messaging::list::{ListedServer, ServerList};
+use reader::ListReader;
+use row::is_same_server;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,16 +22,6 @@
 const MAX_READ_INTERVAL_S: f64 = 1.2;
 /// Most servers of a list.
 const MAX_ROWS: usize = 20_000;
-/// Most pages of a list.
-const MAX_PAGES: usize = 1_000;
-/// Longest text field of a row.
-const MAX_TEXT_BYTES: usize = 200;
-/// Most slots of a server.
-const MAX_SLOTS: f64 = 100_000.0;
-/// Longest warm-up, seconds; longer ones are reduced to this.
-const MAX_WARMUP_S: f64 = 86_400.0;
-/// A warm-up with this many more seconds left than expected has started again.
-const WARMUP_RESTART_S: f32 = 0.5;
 /// Time until the first retry of a failed read, seconds; doubled for each further one.
 const MIN_RETRY_S: f64 = 0.1;
 /// Upper bound on the time until a retry, seconds.
@@ -50,14 +43,16 @@
     platform: Cell<(SocketAddr, f64)>,
     /// Rows of the platform that could not be parsed or were over the limit.
     pub unreadable_rows: Cell<u64>,
+    /// How long the last read of the whole list took, and its number of pages.
+    pub last_read: Cell<(Duration, usize)>,
 }
 
 impl ServerListPoller {
-    /// Starts the read loop.
+    /// Starts the read loop. `platform`: its address, and its limit of calls per second. `zones`: all that may have servers.
     pub fn start(
         consensus: Rc<ConsensusDriver>,
-        address: SocketAddr,
-        rate_per_s: f64,
+        platform: (SocketAddr, f64),
+        zones: Vec<String>,
     ) -> Rc<ServerListPoller> {
         let poller = Rc::new(ServerListPoller {
             consensus,
@@ -65,10 +60,11 @@
             read_at: Cell::new(Instant::now()),
             updated: Notify::new(),
             read_request: Notify::new(),
-            platform: Cell::new((address, rate_per_s)),
+            platform: Cell::new(platform),
             unreadable_rows: Cell::new(0),
+            last_read: Cell::default(),
         });
-        tokio::task::spawn_local(poller.clone().run(PlatformClient::new(address)));
+        tokio::task::spawn_local(poller.clone().run(ListReader::new(platform.0, zones)));
         poller
     }
 
@@ -99,7 +95,7 @@
     }
 
     /// Reads the list in a loop, while this process leads.
-    async fn run(self: Rc<ServerListPoller>, mut platform: PlatformClient) {
+    async fn run(self: Rc<ServerListPoller>, mut reader: ListReader) {
         let (mut retry_s, mut readable) = (MIN_RETRY_S, true);
         loop {
             if self.consensus.leading_epoch().is_none() {
@@ -107,23 +103,22 @@
                 continue;
             }
             let (address, rate_per_s) = self.platform.get();
-            if platform.address != address {
-                platform = PlatformClient::new(address);
-            }
+            reader.set_address(address);
             // half of the permitted rate, as a former leader may still be reading
             let seconds_per_page = 2.0 / rate_per_s.max(0.1);
             let started = Instant::now();
-            let read = self.read(&mut platform, seconds_per_page).await;
-            let wait = match read {
-                Ok((rows, pages)) => {
+            let wait = match reader.read(seconds_per_page).await {
+                Ok(list) => {
                     if !std::mem::replace(&mut readable, true) {
-                        tracing::info!(event = "list_back", rows = rows.len());
+                        tracing::info!(event = "list_back", rows = list.rows.len());
                     }
                     retry_s = MIN_RETRY_S;
-                    self.publish(rows, started);
-                    let interval_s =
-                        (READ_INTERVAL_S + INTERVAL_PER_PAGE_S * (pages - 1) as f64).min(MAX_READ_INTERVAL_S);
-                    (interval_s - started.elapsed().as_secs_f64()).max(seconds_per_page * pages as f64)
+                    self.unreadable_rows.set(self.unreadable_rows.get() + list.unreadable_rows);
+                    self.last_read.set((started.elapsed(), list.pages));
+                    self.publish(list.rows, started);
+                    let interval_s = (READ_INTERVAL_S + INTERVAL_PER_PAGE_S * (list.pages - 1) as f64)
+                        .min(MAX_READ_INTERVAL_S);
+                    (interval_s - started.elapsed().as_secs_f64()).max(seconds_per_page * list.pages as f64)
                 }
                 Err(error) => {
                     if std::mem::replace(&mut readable, false) {
@@ -136,40 +131,13 @@
             };
             let wait = Duration::from_secs_f64(wait);
             let (requested, ()) =
-                tokio::join!(timeout(wait, self.read_request.notified()), platform.reconnect());
+                tokio::join!(timeout(wait, self.read_request.notified()), reader.reconnect());
             if requested.is_ok() {
                 sleep(MIN_REREAD_GAP.max(Duration::from_secs_f64(seconds_per_page))).await;
             }
         }
     }
 
-    /// Reads the whole list page by page; also returns the number of pages.
-    async fn read(
-        &self,
-        platform: &mut PlatformClient,
-        seconds_per_page: f64,
-    ) -> Result<(Vec<ListedServer>, usize), PlatformError> {
-        let (mut rows, mut token) = (BTreeMap::new(), None::<String>);
-        for pages in 1..=MAX_PAGES {
-            let page = platform.page(token.as_deref()).await?;
-            for row in page.rows {
-                match parse_row(row) {
-                    Some(row) if rows.len() < MAX_ROWS => drop(rows.insert(row.id.clone(), row)),
-                    _ => self.unreadable_rows.set(self.unreadable_rows.get() + 1),
-                }
-            }
-            match page.next {
-                Some(next) if token.as_ref() == Some(&next) => return Err(PlatformError::Repeated),
-                Some(next) => token = Some(next),
-                None => return Ok((rows.into_values().collect(), pages)),
-            }
-            if pages % 8 == 0 {
-                sleep(Duration::from_secs_f64(seconds_per_page * 8.0)).await;
-            }
-        }
-        Err(PlatformError::Endless)
-    }
-
     /// Makes the rows the newest list, if they differ from the current one.
     fn publish(&self, rows: Vec<ListedServer>, started: Instant) {
         let Some(epoch) = self.consensus.leading_epoch() else { return };
@@ -191,33 +159,3 @@
         self.updated.notify_one();
     }
 }
-
-/// Whether a row equals the listed server, apart from `elapsed_s` seconds of warm-up that have passed.
-fn is_same_server(current: &ListedServer, read: &ListedServer, elapsed_s: f32) -> bool {
-    let expected_left_s = (current.warmup_left_s - elapsed_s).max(0.0);
-    read.warmup_left_s <= expected_left_s + WARMUP_RESTART_S
-        && ListedServer { warmup_left_s: current.warmup_left_s, ..read.clone() } == *current
-}
-
-/// Parses a row of the platform; `None` if a field is missing or invalid, which rejects this row only.
-fn parse_row(row: serde_json::Value) -> Option<ListedServer> {
-    let text = |name: &str| {
-        let text = row.get(name)?.as_str()?;
-        (!text.is_empty() && text.len() <= MAX_TEXT_BYTES).then(|| text.to_string())
-    };
-    let number = |name: &str| row.get(name).and_then(serde_json::Value::as_f64).filter(|n| *n >= 0.0);
-    // the id is sent in a header
-    let id = text("id").filter(|id| id.bytes().all(|b| b.is_ascii_graphic()))?;
-    Some(ListedServer {
-        id,
-        service: text("service")?,
-        address: text("address")?.parse().ok()?,
-        zone: text("zone")?,
-        slots: number("slots").filter(|s| (1.0..=MAX_SLOTS).contains(s))? as u32,
-        draining: row.get("state").and_then(|s| s.as_str()) == Some("draining"),
-        warmup_left_s: number("warmup_left_s").unwrap_or(0.0).min(MAX_WARMUP_S) as f32,
-    })
-}
-
-#[cfg(test)]
-mod tests;
