Data plane: pools of removed services get each list of servers (DRAIN)

What callers would see: requests that wait in the pool of a service which a new configuration no longer has are sent to a server that has said meanwhile that it leaves. Cause: Pools::distribute_servers went over the configured services only; pools that are kept until their requests are over kept their last list. Ruled out: requests that choose their pool later (read, or claimed, while the service is removed) go by the tables in force. Change: all pools get each list, and with it evacuated zones and a suspension of sending.

--- a/data-plane/src/pools.rs
+++ b/data-plane/src/pools.rs
@@ -65,8 +65,8 @@
     frontends_and_plans: FrontendsAndPlans,
     /// The pools by service name.
     pools: HashMap<String, Pool>,
-    /// Pools of services that are no longer configured, kept until their requests are over.
-    retired: Vec<Pool>,
+    /// Pools of services that are no longer configured, with the services' names, kept until their requests are over.
+    retired: Vec<(String, Pool)>,
     /// Start of each server's warm-up, for servers that a list has reported as cold.
     warmup_started: HashMap<String, Timestamp>,
     /// Zones that are no longer evacuated, with the number of the list that was known then, and the time
@@ -74,6 +74,13 @@
     unconfirmed_zones: HashMap<String, ((u64, u64), Timestamp)>,
 }
 
+impl PoolSet {
+    /// All pools with their services' names, also those of services that are no longer configured.
+    fn all(&self) -> impl Iterator<Item = (&String, &Pool)> {
+        self.pools.iter().chain(self.retired.iter().map(|(service, pool)| (service, pool)))
+    }
+}
+
 /// All pools of this process.
 pub struct Pools {
     settings: RefCell<Rc<Settings>>,
@@ -189,8 +196,8 @@
             self.distribute_servers();
         }
         let pool_set = self.pool_set.borrow();
-        let affected = pool_set.pools.values().chain(&pool_set.retired).filter(|_| hint.is_some());
-        affected.for_each(|p| p.exchange.deny_waiting(Span::from_secs(hint.unwrap_or_default())));
+        let affected = pool_set.all().filter(|_| hint.is_some());
+        affected.for_each(|(_, p)| p.exchange.deny_waiting(Span::from_secs(hint.unwrap_or_default())));
     }
 
     /// Finds a route or tenant whose rules in a pool differ from the tables. Each call checks one pool.
@@ -229,7 +236,7 @@
     fn admissions(&self) -> [u64; Basis::ALL] {
         let pool_set = self.pool_set.borrow();
         let mut all = [0; Basis::ALL];
-        for pool in pool_set.pools.values().chain(&pool_set.retired) {
+        for (_, pool) in pool_set.all() {
             all.iter_mut().zip(pool.exchange.admissions()).for_each(|(sum, of_pool)| *sum += of_pool);
         }
         all
@@ -238,7 +245,7 @@
     /// The number of requests without an answer.
     pub fn unanswered(&self) -> usize {
         let pool_set = self.pool_set.borrow();
-        pool_set.pools.values().chain(&pool_set.retired).map(|p| p.exchange.unanswered()).sum()
+        pool_set.all().map(|(_, p)| p.exchange.unanswered()).sum()
     }
 
     /// Puts other tables into force.
@@ -254,7 +261,7 @@
                 .extend(restored.into_iter().map(|z| (z, (pool_set.list.number, until))));
             pool_set.tables = tables;
             let mut in_use = IndexesInUse::default();
-            for pool in pool_set.pools.values().chain(&pool_set.retired) {
+            for (_, pool) in pool_set.all() {
                 pool.exchange.collect_indexes_in_use(&mut in_use);
             }
             update_frontends_and_plans(
@@ -267,8 +274,8 @@
                 pool_set.tables.services().iter().map(|s| s.name.as_str()).collect();
             let removed: Vec<String> =
                 pool_set.pools.keys().filter(|n| !configured.contains(n.as_str())).cloned().collect();
-            pool_set.retired.extend(removed.iter().filter_map(|n| pool_set.pools.remove(n)));
-            pool_set.retired.retain(|p| p.exchange.unanswered() > 0);
+            pool_set.retired.extend(removed.iter().filter_map(|n| pool_set.pools.remove_entry(n)));
+            pool_set.retired.retain(|(_, p)| p.exchange.unanswered() > 0);
         }
         self.apply_terms();
         self.distribute_servers();
@@ -372,11 +379,12 @@
         Pool { exchange, task }
     }
 
-    /// Gives each pool its servers of the list. Servers in evacuated zones get no new requests, nor do those
-    /// in a zone that was just restored until a list reports how warm they are.
+    /// Gives each pool its servers of the list, also the pools of removed services, in which requests may wait. Servers
+    /// in evacuated zones get no new requests, nor do those in a zone that was just restored until a list reports how
+    /// warm they are.
     fn distribute_servers(&self) {
         let pool_set = &*self.pool_set.borrow();
-        for (service, pool) in &pool_set.pools {
+        for (service, pool) in pool_set.all() {
             let entry = |server: &ListedServer| {
                 let zone = self.node.index(&server.zone)?;
                 let takes_no_requests = self.suspension.get().is_some()
--- a/data-plane/tests/rules/changed_routes.rs
+++ b/data-plane/tests/rules/changed_routes.rs
@@ -3,6 +3,7 @@
 use crate::cluster::{config, document, new_request, server_row, wait_until, Cluster};
 use crate::test_server::{Behavior, TestServer, WELL_BEHAVED};
 use lupinledge_example::http::Client;
+use lupinledge_messaging::list::ListedServer;
 use serde_json::{json, Value};
 use std::time::Duration;
 use test_case::test_case;
@@ -86,3 +87,37 @@
     assert_eq!(server.received().len(), 1, "only the other request");
     assert_eq!(cluster.statuses(1, "POST /pay/x", "key"), [200]);
 }
+
+/// DRAIN: requests that wait in the pool of a service which the configuration no longer has are not sent to a server that
+/// leaves meanwhile.
+#[test]
+fn waiting_requests_of_a_removed_service_do_not_reach_draining_servers() {
+    // ample for the changes below, and short enough that others wait for it
+    let work = Duration::from_secs(2);
+    let clients = 16;
+    let server = TestServer::start("i-1", "mead-1", Behavior::Answer(work));
+    let row = || ListedServer { slots: 1, ..server_row(&server, "a") };
+    let mut config = config();
+    for rule in rules(&mut config) {
+        (rule["target_s"], rule["action"]["timeout_s"]) = (json!(8), json!(10));
+    }
+    let cluster = Cluster::with_config(vec![row()], &config, json!({}));
+    let taken_before = cluster.metric("taken").expect("a metric");
+    let (statuses, sent) = std::thread::scope(|threads| {
+        let ask = || cluster.ask(&new_request("POST /pay/x", "key", "", "").1).status();
+        let clients: Vec<_> = (0..clients).map(|_| threads.spawn(ask)).collect();
+        let all_taken = Some(taken_before + clients.len() as u64);
+        wait_until("all requests are taken", || cluster.metric("taken") == all_taken);
+        let mut without_service = version(2);
+        rules(&mut without_service).iter_mut().for_each(|rule| rule["action"]["service"] = json!("b"));
+        without_service["clusters"].as_array_mut().expect("clusters").remove(0);
+        cluster.apply_document(document(2, &without_service, &[]));
+        cluster.apply_list(vec![ListedServer { draining: true, ..row() }]);
+        // those that were sent before the list have arrived
+        std::thread::sleep(Duration::from_millis(500));
+        let sent = server.received().len();
+        (clients.into_iter().map(|client| client.join().expect("a client")).collect::<Vec<_>>(), sent)
+    });
+    assert!(sent < clients, "some wait");
+    assert_eq!(server.received().len(), sent, "{statuses:?}");
+}
