Dissemination: a list of servers has a message of its own (DRAIN)

What callers would see: a gateway that lacks a document and a list gets both in one message, which waits in a link where documents wait, and sends to servers that leave meanwhile. Cause: Disseminator::encode put both kinds into one message; only messages with a list alone go ahead of documents. Ruled out: a change of form for the build before: it reads both kinds of message in any order. Change: a message for each kind, the list first. Test: a_fetched_list_has_a_message_of_its_own; on the code before one message in place of two.

--- a/membership/src/disseminator.rs
+++ b/membership/src/disseminator.rs
@@ -255,7 +255,8 @@
     }
 
     /// Builds the messages for a receiver with that digest, or for receivers that hold the previous version.
-    /// Without the document unless `with_state`.
+    /// Without the document unless `with_state`. A list has messages of its own, so that it does not wait where
+    /// documents wait.
     fn encode(&mut self, update: &Update, with_state: bool, receiver: Option<&Digest>) -> Vec<GossipMessage> {
         let state = update.state.clone().filter(|_| with_state);
         let update = Update { epoch: None, state, list: update.list.clone() };
@@ -264,12 +265,15 @@
         let patched_bytes = patches.state.iter().chain(&patches.list).map(|p| p.1.bytes.len() as u64);
         self.sent_bytes += patched_bytes.sum::<u64>();
         self.sent_bytes += full.state.iter().chain(&full.list).map(|p| p.1.len() as u64).sum::<u64>();
-        let has_patches = patches != Patches::default();
-        let patches_message = has_patches.then_some(GossipMessage::Patches { digest, patches });
-        let Update { state, list, .. } = full;
-        let full_message =
-            (state.is_some() || list.is_some()).then_some(GossipMessage::Update { digest, state, list });
-        patches_message.into_iter().chain(full_message).collect()
+        let patches_of = |state, list| GossipMessage::Patches { digest, patches: Patches { state, list } };
+        let full_of = |state, list| GossipMessage::Update { digest, state, list };
+        let messages = [
+            patches.list.map(|list| patches_of(None, Some(list))),
+            full.list.map(|list| full_of(None, Some(list))),
+            patches.state.map(|state| patches_of(Some(state), None)),
+            full.state.map(|state| full_of(Some(state), None)),
+        ];
+        messages.into_iter().flatten().collect()
     }
 
     /// Asks a peer whose digest is newer than the own one.
--- a/membership/tests/patches.rs
+++ b/membership/tests/patches.rs
@@ -202,3 +202,18 @@
     }
     assert_eq!(fetches, MAX_RECENT_REQUESTS);
 }
+
+/// Guards against DRAIN: a list in one message with a document waited in a link where documents wait.
+#[test]
+fn a_fetched_list_has_a_message_of_its_own() {
+    let mut core = disseminator(0, true);
+    core.publish(Update { list: list(1).list, ..state(1) }, Source::Origin);
+    let (_, messages) = core.receive(0.0, node(1), GossipMessage::Fetch(Digest::default()));
+    let is_list = |message: &GossipMessage| match message {
+        GossipMessage::Patches { patches, .. } => patches.state.is_none() && patches.list.is_some(),
+        GossipMessage::Update { state, list, .. } => state.is_none() && list.is_some(),
+        _ => false,
+    };
+    let lists = messages.iter().filter(|(_, message)| is_list(message)).count();
+    assert_eq!((messages.len(), lists), (2, 1));
+}
