Links: a list of servers goes out on a full link (DRAIN)

What callers would see: a gateway behind a full link goes on sending to servers that leave. Cause: a link wrote an update only when no other message waited, which on a full link is never, and with 256 others waiting a list found no room. Ruled out: the sockets' buffers (they take what is written next). Change: a waiting list is written next, ahead of what else waits; lists have room of their own. Test: a_list_goes_out_on_a_full_link; on the code before 32 MB of other messages and no list; none either with a waiting list written next but without room of its own.

--- a/messaging/src/link.rs
+++ b/messaging/src/link.rs
@@ -17,10 +17,10 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-/// Maximum number of frames and bytes that wait in a link.
+/// Maximum number of frames that wait in a link, without updates, and of bytes.
 const MAX_FRAMES: usize = 256;
 const MAX_BYTES: usize = 8 << 20;
-/// Updates wait in queues of their own, behind all other messages, until a queue has this many frames or
+/// Updates wait in queues of their own, documents behind all other messages, until a queue has this many frames or
 /// bytes. An update that finds no room is not sent: a receiver that lacks it sees that when it compares
 /// digests, and fetches it.
 const MAX_UPDATE_FRAMES: usize = 32;
@@ -51,6 +51,8 @@
 #[derive(Default)]
 struct Queue {
     bytes: Vec<u8>,
+    /// Whether the bytes begin with the first frame of the link.
+    begins_with_hello: bool,
     /// Updates by urgency: those with only a list of servers go ahead of documents.
     updates: [UpdateQueue; 2],
     /// Frames accepted and not written yet, including those being written.
@@ -84,6 +86,25 @@
 }
 
 impl Queue {
+    /// Moves what is to be written next to the empty buffer, and returns the number of its frames: all messages that
+    /// are no updates, behind one list of servers if any waits; other updates only where nothing else waits. On a
+    /// full link other messages always wait, and a list must not wait for the end of that.
+    fn take_next(&mut self, out: &mut Vec<u8>) -> usize {
+        let mut frames = self.frames - self.update_totals().0;
+        std::mem::swap(&mut self.bytes, out);
+        let next = match out.is_empty() {
+            true => self.updates.len(),
+            false if std::mem::take(&mut self.begins_with_hello) => 0,
+            false => 1,
+        };
+        if let Some(mut update) = self.updates[..next].iter_mut().find_map(UpdateQueue::pop) {
+            update.append(out);
+            (*out, frames) = (update, frames + 1);
+        }
+        self.writing = out.len();
+        frames
+    }
+
     /// Returns the number of frames and bytes of waiting updates.
     fn update_totals(&self) -> (usize, usize) {
         let lengths = self.updates.iter().map(|waiting| (waiting.frames.len(), waiting.bytes));
@@ -105,14 +126,20 @@
 
     /// Enqueues the first frame, which names the process that opens the link.
     pub fn enqueue_hello(&self, me: Node) {
-        frame::append_hello(me, &mut self.queue.borrow_mut().bytes);
+        let queue = &mut *self.queue.borrow_mut();
+        frame::append_hello(me, &mut queue.bytes);
+        queue.begins_with_hello = true;
     }
 
     /// Enqueues a message and returns its bytes, or `None` if there is no room.
     pub fn enqueue(&self, message: &WireMessage) -> Option<usize> {
         let queue = &mut *self.queue.borrow_mut();
         let update_queue = message.update_queue();
-        if queue.frames >= MAX_FRAMES || update_queue.is_some_and(|index| queue.updates[index].is_full()) {
+        let has_room = match update_queue {
+            None => queue.frames - queue.update_totals().0 < MAX_FRAMES,
+            Some(index) => !queue.updates[index].is_full(),
+        };
+        if !has_room {
             return None;
         }
         let room = MAX_BYTES.saturating_sub(queue.writing + queue.update_totals().1);
@@ -285,18 +312,7 @@
 async fn write(transport: &Inner, link: &Link, writer: &mut OwnedWriteHalf) -> io::Result<()> {
     let mut out = Vec::new();
     loop {
-        let frames = {
-            let queue = &mut *link.queue.borrow_mut();
-            std::mem::swap(&mut queue.bytes, &mut out);
-            let mut frames = queue.frames - queue.update_totals().0;
-            if out.is_empty() {
-                if let Some(frame_bytes) = queue.updates.iter_mut().find_map(UpdateQueue::pop) {
-                    (out, frames) = (frame_bytes, 1);
-                }
-            }
-            queue.writing = out.len();
-            frames
-        };
+        let frames = link.queue.borrow_mut().take_next(&mut out);
         if out.is_empty() {
             if link.closing.get() {
                 return writer.shutdown().await;
--- a/messaging/tests/transport.rs
+++ b/messaging/tests/transport.rs
@@ -1,11 +1,13 @@
 //! Transports over the loopback network, each with its own address.
 
 use lupinledge_messaging::{NameTotal, Node, Transport, WireMessage};
+use lupinledge_operations::{ClaimId, Key, Message};
 use std::cell::RefCell;
 use std::io::Write;
 use std::net::{Ipv4Addr, TcpListener, TcpStream, UdpSocket};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
 use tokio::runtime::{Builder, LocalOptions};
 use tokio::time::sleep;
 
@@ -292,3 +294,78 @@
         b.close();
     });
 }
+
+/// The other side of a link, which reads only when it is told to.
+struct SlowReader {
+    stream: tokio::net::TcpStream,
+    bytes: Vec<u8>,
+}
+
+impl SlowReader {
+    /// Reads a part of what has arrived.
+    async fn read_some(&mut self) {
+        let mut part = vec![0; 64 << 10];
+        let len = self.stream.read(&mut part).await.unwrap();
+        self.bytes.extend_from_slice(&part[..len]);
+    }
+
+    /// Whether a list of servers is among the frames read so far.
+    fn has_list(&self) -> bool {
+        let mut rest = &self.bytes[..];
+        while let Some((len, after)) = rest.split_first_chunk::<4>() {
+            let len = u32::from_be_bytes(*len) as usize;
+            if after.len() < len {
+                return false;
+            }
+            let (frame, next) = after.split_at(len);
+            if let Ok(WireMessage::Update { state: None, list: Some(_), .. }) =
+                lupinledge_messaging::decode(frame)
+            {
+                return true;
+            }
+            rest = next;
+        }
+        false
+    }
+}
+
+/// Guards against DRAIN: on a full link other messages wait at all times, and a list of servers never went out.
+#[test]
+fn a_list_goes_out_on_a_full_link() {
+    run(async {
+        let port = port();
+        let listener = tokio::net::TcpListener::bind((ip(2), port)).await.unwrap();
+        let (a, _) = open(1, port);
+        let fill = || {
+            // a message of some size; the queue takes so many that one more is refused
+            let answer = vec![0; 16 << 10].into();
+            let store = Message::Store { key: Key(1, 2), claim: ClaimId::default(), answer };
+            let dropped = a.counts().dropped.get();
+            while a.counts().dropped.get() == dropped {
+                a.send(node(2), &WireMessage::Operation(store.clone()));
+            }
+        };
+        fill();
+        let (stream, _) = listener.accept().await.unwrap();
+        let mut reader = SlowReader { stream, bytes: Vec::new() };
+        // until the sockets take no more
+        let mut pending = 0;
+        while pending != a.pending() {
+            pending = a.pending();
+            sleep(Duration::from_millis(50)).await;
+            fill();
+        }
+        reader.read_some().await;
+        sleep(Duration::from_millis(5)).await;
+        fill();
+        let list = Some(((1, 5), vec![0; 1000].into()));
+        a.send(node(2), &WireMessage::Update { digest: Default::default(), state: None, list });
+        // more than the sockets and the queue hold
+        while reader.bytes.len() < 32 << 20 && !reader.has_list() {
+            fill();
+            reader.read_some().await;
+        }
+        assert!(reader.has_list(), "not among {} bytes", reader.bytes.len());
+        a.close();
+    });
+}
